--- /dev/null
+++ b/cmd/heathershed-sidecar/main.go
@@ -0,0 +1,112 @@
+// Command heathershed-sidecar is the node on the users' platform: the one
+// process beside each upstream.
+//
+// Exit codes: 0 after a planned stop, 1 after a failure, 2 for wrong usage or
+// settings.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"heathershed/internal/settings"
+	"heathershed/internal/sidecar"
+	"heathershed/internal/version"
+)
+
+const (
+	exitOK = iota
+	exitFailed
+	exitUsage
+)
+
+// heapPart is the part of the VM's memory that the heap may take before the
+// collector works harder; the rest is for stacks, buffers and the kernel.
+const heapPart = 0.5
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	path := flag.String("config", "", "settings file (INI)")
+	check := flag.Bool("check", false, "check the settings and exit")
+	show := flag.Bool("print", false, "print the settings in force and exit")
+	showVersion := flag.Bool("version", false, "print the version and exit")
+	flag.Parse()
+	if *showVersion {
+		fmt.Println(version.Version)
+		return exitOK
+	}
+	if *path == "" || flag.NArg() > 0 {
+		fmt.Fprintln(os.Stderr, "usage: heathershed-sidecar -config FILE [-check | -print]")
+		return exitUsage
+	}
+	cfg, err := settings.LoadSidecar(*path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	switch {
+	case *check:
+		return exitOK
+	case *show:
+		return printed(cfg.Print(os.Stdout))
+	}
+	return serve(cfg, *path)
+}
+
+func printed(err error) int {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func serve(cfg *settings.Sidecar, path string) int {
+	debug.SetMemoryLimit(int64(float64(cfg.Memory) * heapPart))
+	var level slog.LevelVar
+	setLevel(&level, cfg)
+	log := slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: &level}))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go reload(ctx, path, log, &level)
+	if err := sidecar.New(cfg, log).Run(ctx); err != nil {
+		log.Error("failed", "err", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func setLevel(level *slog.LevelVar, cfg *settings.Sidecar) {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(cfg.LogLevel)); err == nil {
+		level.Set(l)
+	}
+}
+
+// reload reads the settings again at each SIGHUP. Addresses stay as they are
+// until a restart; settings that are wrong change nothing.
+func reload(ctx context.Context, path string, log *slog.Logger, level *slog.LevelVar) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		cfg, err := settings.LoadSidecar(path)
+		if err != nil {
+			log.Error("reload: settings refused, the old ones stay", "err", err)
+			continue
+		}
+		setLevel(level, cfg)
+		log.Info("reload", "log_level", cfg.LogLevel)
+	}
+}
--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -78,12 +78,17 @@
 	if len(name) >= len(ownPrefix) && bytes.EqualFold(name[:len(ownPrefix)], ownPrefix) {
 		return false
 	}
+	return !isHop(name)
+}
+
+// isHop reports whether a header concerns one connection only.
+func isHop(name []byte) bool {
 	for _, hop := range hopHeaders {
 		if bytes.EqualFold(name, hop) {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // headerSource is a request's or an answer's header.
@@ -92,10 +97,14 @@
 }
 
 // CopyHeaders returns copies of the headers that are passed on.
-func CopyHeaders(h headerSource) []*linkpb.Header {
+func CopyHeaders(h headerSource) []*linkpb.Header { return CopyHeadersIf(h, passes) }
+
+// CopyHeadersIf returns copies of the headers that concern more than one
+// connection and that pass.
+func CopyHeadersIf(h headerSource, pass func(name []byte) bool) []*linkpb.Header {
 	var out []*linkpb.Header
 	for name, value := range h.All() {
-		if passes(name) {
+		if !isHop(name) && pass(name) {
 			out = append(out, &linkpb.Header{Name: bytes.Clone(name), Value: bytes.Clone(value)})
 		}
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -36,8 +36,22 @@
 	leaving atomic.Bool
 }
 
+// Options of a Server. The zero value of each has a default.
+type Options struct {
+	// HeaderBytes bounds the head of a request; 0: 4 KiB.
+	HeaderBytes int
+	// IdleTimeout closes connections without requests; 0: 90 s.
+	IdleTimeout time.Duration
+}
+
 // New returns a server that hands each request to handle.
-func New(handle Handler) *Server {
+func New(handle Handler) *Server { return NewWith(Options{}, handle) }
+
+// NewWith returns a server with options that hands each request to handle.
+func NewWith(o Options, handle Handler) *Server {
+	if o.IdleTimeout <= 0 {
+		o.IdleTimeout = idleTimeout
+	}
 	s := &Server{}
 	s.http = &fasthttp.Server{
 		Handler:                      func(rc *fasthttp.RequestCtx) { s.serve(rc, handle) },
@@ -45,7 +59,8 @@
 		MaxRequestBodySize:           maxBody,
 		ReadTimeout:                  readTimeout,
 		WriteTimeout:                 writeTimeout,
-		IdleTimeout:                  idleTimeout,
+		IdleTimeout:                  o.IdleTimeout,
+		ReadBufferSize:               o.HeaderBytes,
 		NoDefaultServerHeader:        true,
 		NoDefaultDate:                true,
 		DisablePreParseMultipartForm: true,
--- a/internal/link/backoff.go
+++ b/internal/link/backoff.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"context"
 	"io"
 	"time"
 
@@ -17,15 +16,5 @@
 	return d/2 + d*time.Duration(part)/(2*steps)
 }
 
-// wait sleeps for d or until the context ends.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // planned reports whether the other end closed the control stream on purpose.
 func planned(err error) bool { return errors.Is(err, io.EOF) }
--- a/internal/link/set.go
+++ b/internal/link/set.go
@@ -21,7 +21,7 @@
 	// minBackoff and maxBackoff bound the wait before another try; the wait
 	// doubles and is spread by the name of the VM.
 	minBackoff = 100 * time.Millisecond
-	maxBackoff = 5 * time.Second
+	maxBackoff = 2 * time.Second
 	// finishTimeout bounds the wait for calls in flight on a link that the
 	// other end has closed in a planned stop.
 	finishTimeout = 2 * time.Minute
@@ -34,6 +34,9 @@
 	VM          string
 	Incarnation uint64
 	Address     string
+	// Named says that the VM must be this one, in any incarnation where none
+	// is given.
+	Named bool
 }
 
 // Dialer opens a connection to an ip:port.
@@ -56,6 +59,8 @@
 	target   Target
 	stop     context.CancelFunc
 	inFlight atomic.Int64
+	// kick ends the wait before the next try.
+	kick chan struct{}
 
 	mu      sync.RWMutex
 	session *Session
@@ -93,7 +98,7 @@
 
 func (s *Set) start(t Target) {
 	ctx, cancel := context.WithCancel(s.ctx)
-	l := &link{target: t, stop: cancel}
+	l := &link{target: t, stop: cancel, kick: make(chan struct{}, 1)}
 	s.links[t.VM] = l
 	s.group.Go(func() error {
 		defer cancel()
@@ -153,11 +158,43 @@
 		if time.Since(began) > maxBackoff {
 			backoff = minBackoff
 		}
-		wait(ctx, spread(backoff, l.target.VM, began))
+		if l.await(ctx, spread(backoff, l.target.VM, began)) {
+			backoff = minBackoff
+			continue
+		}
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
+// await sleeps for d or until the context ends, and reports whether it was
+// ended early by a kick.
+func (l *link) await(ctx context.Context, d time.Duration) (kicked bool) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return false
+	case <-l.kick:
+		return true
+	}
+}
+
+// Kick makes the set try the link to vm again at once, where it waits to.
+func (s *Set) Kick(vm string) {
+	s.mu.RLock()
+	l := s.links[vm]
+	s.mu.RUnlock()
+	if l == nil {
+		return
+	}
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
+}
+
 // connect opens one connection and runs its session to the end.
 func (s *Set) connect(ctx context.Context, l *link) {
 	conn, err := s.open(l.target.Address)
@@ -209,6 +246,9 @@
 // at the same address never inherits what was meant for the old one. A target
 // without an incarnation is a first contact by address.
 func (l *link) is(p Peer) bool {
+	if l.target.Named && l.target.VM != p.VM {
+		return false
+	}
 	return l.target.Incarnation == 0 || p == Peer{VM: l.target.VM, Incarnation: l.target.Incarnation}
 }
 
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -152,6 +152,19 @@
 	return nil
 }
 
+// ratio is a part of a whole.
+type ratio struct{ at *float64 }
+
+func (v ratio) String() string { return strconv.FormatFloat(*v.at, 'g', -1, 64) }
+func (v ratio) set(text string) error {
+	r, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(r >= 0 && r <= 1) {
+		return errors.New("a number from 0 to 1")
+	}
+	*v.at = r
+	return nil
+}
+
 type size struct {
 	at       *int64
 	min, max int64
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,12 +67,19 @@
 // Parse reads settings from text; name stands for the file in messages. The
 // error lists every problem, one a line.
 func Parse(name string, text []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := parse(name, text, s.fields()); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// parse reads the known keys from text.
+func parse(name string, text []byte, known []field) error {
 	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, text)
 	if err != nil {
-		return nil, errors.Newf("%s: not an INI file: %v", name, err)
+		return errors.Newf("%s: not an INI file: %v", name, err)
 	}
-	s := &Settings{}
-	known := s.fields()
 	problems := unknownKeys(file, known)
 	for _, f := range known {
 		if err := f.read(file); err != nil {
@@ -80,15 +87,17 @@
 		}
 	}
 	if len(problems) > 0 {
-		return nil, errors.Newf("%s: %s", name, strings.Join(problems, "\n"+name+": "))
+		return errors.Newf("%s: %s", name, strings.Join(problems, "\n"+name+": "))
 	}
-	return s, nil
+	return nil
 }
 
 // Print writes the settings in force, as an INI file.
-func (s *Settings) Print(w io.Writer) error {
+func (s *Settings) Print(w io.Writer) error { return printFields(w, s.fields()) }
+
+func printFields(w io.Writer, fields []field) error {
 	section := ""
-	for _, f := range s.fields() {
+	for _, f := range fields {
 		if f.section != section {
 			section = f.section
 			if _, err := fmt.Fprintf(w, "[%s]\n", section); err != nil {
--- /dev/null
+++ b/internal/sidecar/client.go
@@ -0,0 +1,191 @@
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	linkpb "heathershed/api/link"
+	"heathershed/internal/contract"
+	"heathershed/internal/front"
+	"heathershed/internal/routes"
+	"heathershed/platform"
+)
+
+const (
+	// defaultTimeout bounds requests where neither client nor route does.
+	defaultTimeout = 30 * time.Second
+	// comeBack and comeBackSpread say when a refused request may come again,
+	// where nothing better is known.
+	comeBack       = 150 * time.Millisecond
+	comeBackSpread = 350 * time.Millisecond
+	// comeBackPart is the part of the time left that a client waits at most.
+	comeBackPart = 3
+	// answerRoom is what a message of a link holds beside an answer's body.
+	answerRoom = 256 << 10
+)
+
+// call is one request that this node sees through, from its client to the
+// answer.
+type call struct {
+	attempt string
+	route   *routes.Route
+	service string
+	// inner: the own upstream asks, not a client.
+	inner    bool
+	deadline time.Time
+	// useful is until when the answer has its full worth; zero: the deadline.
+	useful  time.Time
+	method  string
+	uri     string
+	host    string
+	headers []*linkpb.Header
+	body    []byte
+}
+
+// serveClient is the front's handler.
+func (n *Node) serveClient(ctx context.Context, rc *fasthttp.RequestCtx) {
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	began := time.Now()
+	c, reply := n.accept(rc, began)
+	if reply == nil {
+		ctx, cancel := context.WithDeadline(ctx, c.deadline)
+		reply = n.send(ctx, c)
+		cancel()
+	}
+	n.answer(rc, c, reply)
+	n.logEnd(c, reply, time.Since(began))
+}
+
+// accept turns a request into a call, or into the reply that ends it.
+func (n *Node) accept(rc *fasthttp.RequestCtx, now time.Time) (*call, *linkpb.CallReply) {
+	c := &call{}
+	in, err := platform.ReadInbound(&rc.Request.Header)
+	c.attempt = in.Attempt
+	c.deadline = now.Add(defaultTimeout)
+	if in.Remaining > 0 {
+		c.deadline = now.Add(in.Remaining)
+	}
+	if err != nil {
+		return c, refuse(contract.ReasonBadRequest, err.Error())
+	}
+	table := n.table.Load()
+	if table == nil {
+		return c, refuse(contract.ReasonNoUpstream, "no configuration is known yet")
+	}
+	c.host = string(rc.Host())
+	c.uri = string(rc.RequestURI())
+	path, _, _ := strings.Cut(c.uri, "?")
+	route, ok := table.Match(c.host, path)
+	if !ok {
+		return c, refuse(contract.ReasonUnknownKind, "no route of this host and path")
+	}
+	if limit := table.Limits.BodyBytes; limit > 0 && len(rc.Request.Body()) > limit {
+		return c, refuse(contract.ReasonTooLarge, "request body over the limit")
+	}
+	c.route = route
+	c.service = n.split.Next(route)
+	c.inner = n.fromUpstream(rc.RemoteAddr())
+	n.bound(c, now)
+	c.method = string(rc.Method())
+	c.headers = front.CopyHeadersIf(&rc.Request.Header, platform.PassesRequest)
+	c.body = append([]byte(nil), rc.Request.Body()...)
+	return c, nil
+}
+
+// bound sets the times of a call.
+func (n *Node) bound(c *call, now time.Time) {
+	if t := c.route.Timeout; t > 0 && now.Add(t).Before(c.deadline) {
+		c.deadline = now.Add(t)
+	}
+	if o := c.route.Objective; o > 0 && c.route.Idempotent && !c.inner {
+		c.useful = now.Add(o)
+	}
+}
+
+// fromUpstream reports whether a connection comes from the own upstream.
+func (n *Node) fromUpstream(remote net.Addr) bool {
+	host, _, err := net.SplitHostPort(remote.String())
+	own, _, _ := net.SplitHostPort(n.cfg.Upstream)
+	return err == nil && host == own
+}
+
+// refuse is the reply to a request that has not run.
+func refuse(reason contract.Reason, detail string) *linkpb.CallReply {
+	return &linkpb.CallReply{Verdict: uint32(contract.NotRun), Reason: uint32(reason), Detail: detail}
+}
+
+// lost is the reply to a request that may have run.
+func lost(reason contract.Reason, detail string) *linkpb.CallReply {
+	return &linkpb.CallReply{Verdict: uint32(contract.MayHaveRun), Reason: uint32(reason), Detail: detail}
+}
+
+// answer writes the reply of a call to its client.
+func (n *Node) answer(rc *fasthttp.RequestCtx, c *call, reply *linkpb.CallReply) {
+	if contract.Verdict(reply.Verdict) != contract.Ran {
+		n.answerOwn(rc, c, reply)
+		return
+	}
+	status := int(reply.Status)
+	h := &rc.Response.Header
+	promised := !c.route.Idempotent && promisesNotRun(status)
+	for _, header := range reply.Headers {
+		if !(promised && platform.IsSeal(header.Name)) {
+			h.AddBytesKV(header.Name, header.Value)
+		}
+	}
+	if promised {
+		status = fasthttp.StatusBadGateway
+	}
+	rc.SetStatusCode(status)
+	rc.SetBody(reply.Body)
+}
+
+// promisesNotRun reports whether clients take a status for "not run".
+func promisesNotRun(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest,
+		fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// answerOwn writes an answer of the node's own.
+func (n *Node) answerOwn(rc *fasthttp.RequestCtx, c *call, reply *linkpb.CallReply) {
+	verdict, reason := contract.Verdict(reply.Verdict), contract.Reason(reply.Reason)
+	rc.SetStatusCode(statusOf(verdict, reason))
+	if verdict == contract.NotRun {
+		wait := n.comeBack(c, reply)
+		rc.Response.Header.Set(fasthttp.HeaderRetryAfter, platform.RetryAfter(wait))
+	}
+	rc.SetContentType("text/plain; charset=utf-8")
+	rc.SetBodyString(verdict.String() + ": " + reason.String() + ": " + reply.Detail + "\n")
+}
+
+// statusOf is the status of an answer of the node's own, see docs/VERDICTS.md.
+// Whatever has not run and may be sent again is 503.
+func statusOf(v contract.Verdict, r contract.Reason) int {
+	switch r {
+	case contract.ReasonUnknownKind, contract.ReasonBadRequest, contract.ReasonTooLarge:
+		return contract.Status(v, r)
+	}
+	if v == contract.NotRun {
+		return fasthttp.StatusServiceUnavailable
+	}
+	return contract.Status(v, r)
+}
+
+// comeBack is when a request that has not run may come again: when room is
+// expected, spread, and within the part of its time that clients wait.
+func (n *Node) comeBack(c *call, reply *linkpb.CallReply) time.Duration {
+	wait := time.Duration(reply.RetryAfterMs) * time.Millisecond
+	wait = max(wait, comeBack) + rand.N(comeBackSpread)
+	left := time.Until(c.deadline) / comeBackPart
+	return max(min(wait, left), 0)
+}
--- /dev/null
+++ b/internal/sidecar/node.go
@@ -0,0 +1,161 @@
+// Package sidecar wires the decisions of heathershed into the one process
+// beside an upstream on the users' platform: front for the VM's clients and for
+// its upstream's calls, door of the upstream, and links to all other nodes.
+//
+// What lasts lies in the platform's object API: the configuration, and one
+// record per node, written when what it says changes. Whether a node is alive
+// the nodes see on their links.
+package sidecar
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"heathershed/internal/fleet"
+	"heathershed/internal/front"
+	"heathershed/internal/link"
+	"heathershed/internal/routes"
+	"heathershed/internal/settings"
+	"heathershed/internal/upstream"
+	"heathershed/internal/version"
+	"heathershed/internal/vm/door"
+	"heathershed/platform"
+)
+
+const (
+	// maxIdleConns bounds the idle connections to the upstream.
+	maxIdleConns = 256
+	// headBytes bounds the head of a request before its limit is known.
+	headBytes = 20 << 10
+	// clientIdle is the longest time that a client's connection stays idle; it
+	// lies above what operators allow clients.
+	clientIdle = 60 * time.Second
+)
+
+// Node is one process. Its methods are safe for concurrent use.
+type Node struct {
+	cfg         *settings.Sidecar
+	log         *slog.Logger
+	incarnation uint64
+	started     time.Time
+
+	table    atomic.Pointer[configuration]
+	split    routes.Splitter
+	fleet    *fleet.Fleet
+	gate     *door.Gate
+	upstream *upstream.Client
+	objects  *platform.Objects
+	target   *target
+	handed   *handed
+	budget   *budget
+	peers    *peers
+
+	front      *front.Server
+	ready      *fasthttp.Server
+	heartbeats *fasthttp.Server
+	server     *link.Server
+	links      *link.Set
+	traffic    link.Traffic
+
+	// announce has one pending signal when the own record may have changed.
+	announce chan struct{}
+	// listed is set once the other nodes' records were read.
+	listed   atomic.Bool
+	stopping atomic.Bool
+	// inFlight counts the requests of clients and other nodes.
+	inFlight atomic.Int64
+}
+
+// configuration is the routes in force with the bytes they were read from.
+type configuration struct {
+	*routes.Table
+	raw []byte
+}
+
+// New returns a node with checked settings. Nothing is opened before Run.
+func New(cfg *settings.Sidecar, log *slog.Logger) *Node {
+	now := time.Now()
+	n := &Node{
+		cfg:         cfg,
+		log:         log,
+		incarnation: uint64(now.UnixMicro()),
+		started:     now,
+		fleet:       fleet.New(cfg.Datacentre),
+		gate:        door.NewGate(),
+		upstream:    upstream.New(cfg.Upstream, maxIdleConns),
+		objects:     platform.NewObjects(cfg.Platform),
+		handed:      newHanded(),
+		budget:      newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
+		announce:    make(chan struct{}, 1),
+	}
+	n.target = newTarget(n)
+	n.peers = newPeers(n)
+	n.front = front.NewWith(front.Options{HeaderBytes: headBytes, IdleTimeout: clientIdle}, n.serveClient)
+	n.ready = &fasthttp.Server{Handler: n.serveReady, NoDefaultServerHeader: true}
+	n.heartbeats = &fasthttp.Server{Handler: n.serveHeartbeat, NoDefaultServerHeader: true}
+	n.server = link.NewServer(n, &n.traffic)
+	return n
+}
+
+// Run opens the listeners and runs every duty until ctx ends or a duty fails.
+// A planned stop returns nil.
+func (n *Node) Run(ctx context.Context) error {
+	l, err := n.listen()
+	if err != nil {
+		return err
+	}
+	n.log.Info("start", "version", version.Version, "vm", n.cfg.VM, "datacentre", n.cfg.Datacentre,
+		"service", n.cfg.Service, "incarnation", n.incarnation)
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, running := errgroup.WithContext(running)
+	n.links = link.NewSet(running, group, n, &n.traffic, dialTCP)
+	group.Go(func() error { return n.front.Serve(l.clients) })
+	group.Go(func() error { return n.server.Serve(l.link) })
+	group.Go(func() error { return n.ready.Serve(l.ready) })
+	group.Go(func() error { return n.heartbeats.Serve(l.heartbeats) })
+	group.Go(func() error { return n.runConfiguration(running) })
+	group.Go(func() error { return n.runRecord(running) })
+	group.Go(func() error {
+		defer cancel()
+		return n.awaitStop(ctx, running)
+	})
+	err = group.Wait()
+	n.log.Info("stopped", "err", err)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+type listeners struct{ clients, link, ready, heartbeats net.Listener }
+
+func (n *Node) listen() (l listeners, err error) {
+	for _, at := range []struct {
+		to      *net.Listener
+		address string
+		key     string
+	}{
+		{&l.clients, n.cfg.Clients, "clients"},
+		{&l.link, n.cfg.Link, "link"},
+		{&l.ready, n.cfg.Ready, "ready"},
+		{&l.heartbeats, n.cfg.Heartbeats, "heartbeats"},
+	} {
+		if *at.to, err = net.Listen("tcp", at.address); err != nil {
+			return l, errors.Wrapf(err, "[addresses] %s", at.key)
+		}
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/sidecar/peers.go
@@ -0,0 +1,224 @@
+package sidecar
+
+import (
+	"sync"
+
+	linkpb "heathershed/api/link"
+	"heathershed/internal/fleet"
+	"heathershed/internal/link"
+)
+
+// documentRoutes names the configuration on links.
+const documentRoutes = "routes"
+
+// peers are the other nodes: what their records and their own frames say.
+type peers struct {
+	n *Node
+
+	mu       sync.Mutex
+	members  map[string]*linkpb.Member // by VM
+	sessions map[*link.Session]uint64  // own sequence told last
+}
+
+func newPeers(n *Node) *peers {
+	return &peers{
+		n:        n,
+		members:  make(map[string]*linkpb.Member),
+		sessions: make(map[*link.Session]uint64),
+	}
+}
+
+// learn takes in what is known of a node; the higher incarnation and sequence
+// wins. A record of the object API has incarnation 0.
+func (p *peers) learn(m *linkpb.Member) {
+	if m.Vm == p.n.cfg.VM || m.Vm == "" || m.Address == "" {
+		return
+	}
+	p.mu.Lock()
+	old := p.members[m.Vm]
+	if old != nil && !newer(m, old) {
+		p.mu.Unlock()
+		return
+	}
+	p.members[m.Vm] = m
+	p.mu.Unlock()
+	p.n.fleet.Put(fleet.Upstream{
+		VM:         m.Vm,
+		Service:    m.Service,
+		Datacentre: m.Datacentre,
+		Instance:   m.Instance,
+		Slots:      int(m.Slots),
+		Ready:      m.Incarnation > 0 && m.State == linkpb.MemberState_MEMBER_STATE_UP,
+	})
+	if old == nil || old.Incarnation != m.Incarnation || old.State != m.State || old.Instance != m.Instance {
+		p.n.log.Info("node", "vm", m.Vm, "service", m.Service, "instance", m.Instance,
+			"incarnation", m.Incarnation, "sequence", m.Sequence, "state", m.State.String())
+	}
+	if old == nil || old.Address != m.Address {
+		p.want()
+	}
+}
+
+func newer(m, old *linkpb.Member) bool {
+	if m.Incarnation != old.Incarnation {
+		return m.Incarnation > old.Incarnation
+	}
+	if m.Incarnation == 0 {
+		return m.Address != old.Address
+	}
+	return m.Sequence > old.Sequence
+}
+
+// forget removes a node.
+func (p *peers) forget(vm string) {
+	p.mu.Lock()
+	delete(p.members, vm)
+	p.mu.Unlock()
+	p.n.fleet.Remove(vm)
+	p.want()
+}
+
+// want asks for links to all known nodes.
+func (p *peers) want() {
+	p.mu.Lock()
+	targets := make([]link.Target, 0, len(p.members))
+	for _, m := range p.members {
+		targets = append(targets, link.Target{VM: m.Vm, Address: m.Address, Named: true})
+	}
+	p.mu.Unlock()
+	p.n.budget.setNodes(len(targets) + 1)
+	p.n.links.Want(targets)
+}
+
+// Heartbeat implements link.Handler: the load and the version in force, and
+// the own record where the other end has not had it.
+func (n *Node) Heartbeat(s *link.Session) *linkpb.ControlFrame {
+	f := n.frame()
+	f.Load = n.load("")
+	n.target.mu.Lock()
+	sequence := n.target.sequence
+	n.target.mu.Unlock()
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	told, opened := n.peers.sessions[s]
+	if told < sequence {
+		if opened {
+			n.peers.sessions[s] = sequence
+		}
+		f.Members = []*linkpb.Member{n.member()}
+	}
+	return f
+}
+
+// frame returns a frame with what every frame carries.
+func (n *Node) frame() *linkpb.ControlFrame {
+	f := &linkpb.ControlFrame{Vm: n.cfg.VM, Incarnation: n.incarnation, Have: &linkpb.Have{}}
+	if t := n.table.Load(); t != nil {
+		f.Have.CatalogueVersion = t.Version
+	}
+	return f
+}
+
+// member is the own record as other nodes see it.
+func (n *Node) member() *linkpb.Member {
+	n.target.mu.Lock()
+	state, sequence := n.target.book.State(), n.target.sequence
+	n.target.mu.Unlock()
+	m := &linkpb.Member{
+		Vm:          n.cfg.VM,
+		Service:     state.Service,
+		Region:      n.cfg.Region,
+		Datacentre:  n.cfg.Datacentre,
+		Address:     n.cfg.Link,
+		Incarnation: n.incarnation,
+		Sequence:    sequence,
+		Slots:       uint32(state.Slots),
+		Instance:    state.ID,
+		State:       linkpb.MemberState_MEMBER_STATE_LEAVING,
+	}
+	if state.Ready && !n.stopping.Load() {
+		m.State = linkpb.MemberState_MEMBER_STATE_UP
+	}
+	return m
+}
+
+// tellAll sends a heartbeat with the present state on every session.
+func (n *Node) tellAll() {
+	n.peers.mu.Lock()
+	sessions := make([]*link.Session, 0, len(n.peers.sessions))
+	for s := range n.peers.sessions {
+		sessions = append(sessions, s)
+	}
+	n.peers.mu.Unlock()
+	for _, s := range sessions {
+		s.Send(n.Heartbeat(s))
+	}
+}
+
+// Opened implements link.Handler.
+func (n *Node) Opened(s *link.Session) {
+	n.peers.mu.Lock()
+	if _, known := n.peers.sessions[s]; !known {
+		n.peers.sessions[s] = 0
+	}
+	n.peers.mu.Unlock()
+	vm := s.Peer().VM
+	if s.Dialled() {
+		n.fleet.Linked(vm, true)
+		n.log.Info("link up", "vm", vm)
+		return
+	}
+	n.links.Kick(vm)
+}
+
+// Closed implements link.Handler.
+func (n *Node) Closed(s *link.Session, reason error) {
+	n.peers.mu.Lock()
+	delete(n.peers.sessions, s)
+	n.peers.mu.Unlock()
+	if s.Dialled() {
+		n.fleet.Linked(s.Peer().VM, false)
+		n.log.Info("link lost", "vm", s.Peer().VM, "err", reason)
+	}
+}
+
+// News implements link.Handler.
+func (n *Node) News(s *link.Session, f *linkpb.ControlFrame) {
+	for _, m := range f.Members {
+		n.peers.learn(m)
+	}
+	if f.Load != nil {
+		n.fleet.Heard(f.Vm, loadOf(f.Load))
+	}
+	for _, d := range f.Documents {
+		if d.Name == documentRoutes {
+			n.adopt("link", d.Value)
+		}
+	}
+	if len(f.FetchDocuments) > 0 {
+		n.sendDocument(s)
+	}
+	n.fetchNewer(s, f.Have)
+}
+
+// sendDocument sends the configuration in force.
+func (n *Node) sendDocument(s *link.Session) {
+	t := n.table.Load()
+	if t == nil {
+		return
+	}
+	f := n.frame()
+	f.Documents = []*linkpb.Document{{Name: documentRoutes, Version: t.Version, Value: t.raw}}
+	s.Send(f)
+}
+
+// fetchNewer asks for a configuration that is newer than the one in force.
+func (n *Node) fetchNewer(s *link.Session, have *linkpb.Have) {
+	version := have.GetCatalogueVersion()
+	if t := n.table.Load(); version == 0 || (t != nil && t.Version >= version) {
+		return
+	}
+	f := n.frame()
+	f.FetchDocuments = []string{documentRoutes}
+	s.Send(f)
+}
--- /dev/null
+++ b/internal/sidecar/record.go
@@ -0,0 +1,218 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	linkpb "heathershed/api/link"
+	store "heathershed/internal/platform"
+	"heathershed/internal/vm/instance"
+	"heathershed/platform"
+)
+
+const (
+	// recordKind is the kind of object under which nodes keep their records.
+	recordKind = "heathershed-nodes"
+	// firstBeat is how long a node that has no record yet waits for its
+	// upstream's first heartbeat before it writes one.
+	firstBeat = 2 * time.Second
+	// listEvery and listSpread are the time between two readings of all
+	// records.
+	listEvery  = 15 * time.Second
+	listSpread = 5 * time.Second
+	// settle joins changes that follow each other closely into one write.
+	settle = 200 * time.Millisecond
+)
+
+// record is what a node keeps in the object API: what another node needs to
+// find it, and what it needs itself after a restart.
+type record struct {
+	VM         string `json:"vm"`
+	Datacentre string `json:"datacentre"`
+	Address    string `json:"address"`
+	Service    string `json:"service"`
+	Instance   string `json:"instance"`
+	Slots      int    `json:"slots"`
+}
+
+// recordDuty writes the own record and reads the others'.
+type recordDuty struct {
+	n        *Node
+	revision uint64
+	written  record
+	known    bool
+}
+
+// runRecord is the duty.
+func (n *Node) runRecord(ctx context.Context) error {
+	d := &recordDuty{n: n}
+	d.first(ctx)
+	for ctx.Err() == nil {
+		timer := time.NewTimer(listEvery + rand.N(listSpread))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+			d.list(ctx, true)
+		case <-n.announce:
+			sleep(ctx, settle)
+			d.write(ctx)
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
+// first reads all records, writes the own one where it is missing or another,
+// and reads once more: of two nodes that start together, the one that reads
+// later finds the other.
+func (d *recordDuty) first(ctx context.Context) {
+	d.until(ctx, func() bool { return d.list(ctx, false) })
+	if !d.known {
+		d.awaitBeat(ctx)
+	}
+	if d.own() != d.written {
+		d.write(ctx)
+		d.until(ctx, func() bool { return d.list(ctx, false) })
+	}
+	d.n.listed.Store(true)
+}
+
+// until repeats try, with a growing wait, until it succeeds.
+func (d *recordDuty) until(ctx context.Context, try func() bool) {
+	retry := minRetry
+	for ctx.Err() == nil && !try() {
+		sleep(ctx, retry/2+rand.N(retry))
+		retry = min(2*retry, maxRetry)
+	}
+}
+
+func (d *recordDuty) awaitBeat(ctx context.Context) {
+	timer := time.NewTimer(firstBeat)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-d.n.announce:
+	case <-timer.C:
+	}
+}
+
+// own is the record as it should be. Before the first heartbeat the upstream
+// is taken to be the one that the old record names.
+func (d *recordDuty) own() record {
+	state := d.n.target.state()
+	r := record{
+		VM:         d.n.cfg.VM,
+		Datacentre: d.n.cfg.Datacentre,
+		Address:    d.n.cfg.Link,
+		Service:    state.Service,
+		Instance:   state.ID,
+		Slots:      state.Slots,
+	}
+	if r.Instance == "" {
+		r.Service, r.Instance, r.Slots = d.written.Service, d.written.Instance, d.written.Slots
+	}
+	return r
+}
+
+// write writes the own record where it has changed, until it lies in the store.
+func (d *recordDuty) write(ctx context.Context) {
+	d.until(ctx, func() bool {
+		want := d.own()
+		if want == d.written {
+			return true
+		}
+		spec, err := json.Marshal(want)
+		if err != nil {
+			d.n.log.Error("record", "err", err)
+			return true
+		}
+		o, err := d.n.objects.Put(ctx, recordKind, platform.Object{Name: want.VM, Revision: d.revision, Spec: spec})
+		if err == nil {
+			d.revision, d.written = o.Revision, want
+			d.n.log.Info("record written", "revision", o.Revision, "instance", want.Instance)
+			return true
+		}
+		d.n.log.Warn("store", "call", "write record", "err", err)
+		d.readOwn(ctx, err)
+		return false
+	})
+}
+
+// readOwn finds the revision to replace after a write that failed.
+func (d *recordDuty) readOwn(ctx context.Context, failed error) {
+	if errors.Is(failed, store.ErrUnavailable) {
+		return
+	}
+	o, err := d.n.objects.Get(ctx, recordKind, d.n.cfg.VM)
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		d.revision, d.written = 0, record{}
+	case err != nil:
+		d.n.log.Warn("store", "call", "read record", "err", err)
+	default:
+		d.take(o)
+	}
+}
+
+// take takes in the own record as it lies in the store.
+func (d *recordDuty) take(o platform.Object) {
+	d.revision, d.known = o.Revision, true
+	if err := json.Unmarshal(o.Spec, &d.written); err != nil {
+		d.n.log.Warn("own record unreadable", "revision", o.Revision, "err", err)
+		d.written = record{}
+	}
+}
+
+// list reads all records and reports whether it could.
+func (d *recordDuty) list(ctx context.Context, stale bool) bool {
+	objects, _, err := d.n.objects.List(ctx, recordKind, stale)
+	if err != nil {
+		d.n.log.Warn("store", "call", "list records", "err", err)
+		return false
+	}
+	for _, o := range objects {
+		if o.Name == d.n.cfg.VM {
+			if !stale {
+				d.take(o)
+				d.expect()
+			}
+			continue
+		}
+		d.learn(o)
+	}
+	return true
+}
+
+// expect takes the upstream of the own record for the present one until its
+// first heartbeat.
+func (d *recordDuty) expect() {
+	w := d.written
+	d.n.target.change("record", func(b *instance.Book) instance.Change {
+		return b.Expect(w.Instance, w.Service, w.Slots)
+	})
+}
+
+// learn takes in another node's record. One that can't be read is left out.
+func (d *recordDuty) learn(o platform.Object) {
+	var r record
+	if err := json.Unmarshal(o.Spec, &r); err != nil || r.VM != o.Name || r.Address == "" {
+		d.n.log.Warn("record unreadable", "name", o.Name, "revision", o.Revision, "err", err)
+		return
+	}
+	d.n.peers.learn(&linkpb.Member{
+		Vm: r.VM, Datacentre: r.Datacentre, Address: r.Address,
+		Service: r.Service, Instance: r.Instance, Slots: uint32(r.Slots),
+	})
+}
+
+// wakeRecord has the own record looked at.
+func (n *Node) wakeRecord() {
+	select {
+	case n.announce <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/sidecar/send.go
@@ -0,0 +1,172 @@
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	linkpb "heathershed/api/link"
+	"heathershed/internal/contract"
+	"heathershed/internal/fleet"
+)
+
+const (
+	// maxDoors bounds the doors that one request is offered to without a run.
+	maxDoors = 4
+	// awaitPoll and awaitMost are how often and how long a request waits for an
+	// upstream of its service to become known.
+	awaitPoll = 20 * time.Millisecond
+	awaitMost = 400 * time.Millisecond
+	// awaitPart is the part of its time that it waits at most.
+	awaitPart = 4
+)
+
+// send sees a call through: it offers it to doors until one takes it, and sends
+// it again where that is allowed.
+func (n *Node) send(ctx context.Context, c *call) *linkpb.CallReply {
+	n.budget.request(time.Now(), c.inner)
+	var tried []string
+	var last *linkpb.CallReply
+	arrived, mayHaveRun := 0, false
+	for len(tried) < maxDoors {
+		choice, ok := n.choose(ctx, c, tried)
+		if !ok {
+			break
+		}
+		tried = append(tried, choice.VM)
+		reply := n.offer(ctx, c, choice)
+		if contract.Verdict(reply.Verdict) == contract.Ran {
+			return reply
+		}
+		last = worse(last, reply)
+		if hasArrived(reply) {
+			arrived++
+		}
+		mayHaveRun = mayHaveRun || contract.Verdict(reply.Verdict) == contract.MayHaveRun
+		if !n.again(ctx, c, arrived, mayHaveRun) {
+			break
+		}
+	}
+	if last == nil {
+		return refuse(contract.ReasonNoUpstream, "no upstream of the service can be reached")
+	}
+	if mayHaveRun {
+		last.Verdict = uint32(contract.MayHaveRun)
+	}
+	return last
+}
+
+// worse keeps the reply that says more about what happened.
+func worse(a, b *linkpb.CallReply) *linkpb.CallReply {
+	if a != nil && contract.Verdict(a.Verdict) == contract.MayHaveRun && contract.Verdict(b.Verdict) == contract.NotRun {
+		return a
+	}
+	return b
+}
+
+// hasArrived reports whether an attempt reached an upstream, run or not.
+func hasArrived(reply *linkpb.CallReply) bool {
+	if contract.Verdict(reply.Verdict) == contract.MayHaveRun {
+		return true
+	}
+	switch contract.Reason(reply.Reason) {
+	case contract.ReasonUpstreamRefused, contract.ReasonStaleTarget:
+		return true
+	}
+	return false
+}
+
+// again decides on another attempt. What no upstream has seen costs nothing;
+// else the attempts of the route and the budget bound it.
+func (n *Node) again(ctx context.Context, c *call, arrived int, mayHaveRun bool) bool {
+	if ctx.Err() != nil || (mayHaveRun && !c.route.Idempotent) {
+		return false
+	}
+	if arrived == 0 {
+		return true
+	}
+	return arrived < c.route.Attempts && n.budget.repeat(time.Now(), c.inner)
+}
+
+// choose picks an upstream. Where none is known it waits a little: links open
+// within that time after a start.
+func (n *Node) choose(ctx context.Context, c *call, tried []string) (fleet.Choice, bool) {
+	until := time.Now().Add(min(awaitMost, time.Until(c.deadline)/awaitPart))
+	for {
+		choice, ok := n.fleet.Pick(time.Now(), fleet.Query{
+			Service: c.service,
+			Kind:    c.route.Name,
+			Exclude: tried,
+			Random:  rand.Uint64(),
+		})
+		if ok || len(tried) > 0 || time.Now().After(until) {
+			return choice, ok
+		}
+		select {
+		case <-ctx.Done():
+			return fleet.Choice{}, false
+		case <-time.After(awaitPoll):
+		}
+	}
+}
+
+// offer offers the call to one door.
+func (n *Node) offer(ctx context.Context, c *call, choice fleet.Choice) *linkpb.CallReply {
+	req := n.request(c, choice)
+	var reply *linkpb.CallReply
+	if choice.VM == n.cfg.VM {
+		reply = n.serveOwn(ctx, req)
+	} else {
+		reply = n.links.Call(ctx, choice.VM, req)
+	}
+	n.fleet.Done(time.Now(), choice, resultOf(c, reply))
+	return reply
+}
+
+func (n *Node) request(c *call, choice fleet.Choice) *linkpb.CallRequest {
+	now := time.Now()
+	req := &linkpb.CallRequest{
+		Kind:        c.route.Name,
+		Rank:        uint32(c.route.Rank),
+		TimeoutUs:   c.deadline.Sub(now).Microseconds(),
+		FromVm:      n.cfg.VM,
+		FromService: n.target.service(),
+		Method:      c.method,
+		Uri:         c.uri,
+		Host:        c.host,
+		Headers:     c.headers,
+		Body:        c.body,
+		Service:     choice.Service,
+		AttemptId:   c.attempt,
+		Inner:       c.inner,
+		Idempotent:  c.route.Idempotent,
+	}
+	if !c.useful.IsZero() {
+		req.ObjectiveUs = max(c.useful.Sub(now).Microseconds(), 1)
+	}
+	return req
+}
+
+func resultOf(c *call, reply *linkpb.CallReply) fleet.Result {
+	r := fleet.Result{
+		Verdict: contract.Verdict(reply.Verdict),
+		Reason:  contract.Reason(reply.Reason),
+		Kind:    c.route.Name,
+	}
+	if reply.Load != nil {
+		load := loadOf(reply.Load)
+		r.Load = &load
+	}
+	return r
+}
+
+func loadOf(l *linkpb.Load) fleet.Load {
+	return fleet.Load{
+		InFlight: int(l.InFlight),
+		Waiting:  int(l.Waiting),
+		Slots:    int(l.Limit),
+		Latency:  time.Duration(l.LatencyUs) * time.Microsecond,
+		Leaving:  l.Leaving,
+		Cold:     l.Cold,
+	}
+}
--- /dev/null
+++ b/internal/sidecar/serve.go
@@ -0,0 +1,159 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	linkpb "heathershed/api/link"
+	"heathershed/internal/contract"
+	"heathershed/internal/front"
+	"heathershed/internal/upstream"
+	"heathershed/internal/vm/door"
+	"heathershed/internal/vm/instance"
+	"heathershed/platform"
+)
+
+// Call implements link.Handler: a call from another node.
+func (n *Node) Call(ctx context.Context, req *linkpb.CallRequest) *linkpb.CallReply {
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	return n.serveOwn(ctx, req)
+}
+
+// serveOwn runs a request at the own upstream, if its door lets it in.
+func (n *Node) serveOwn(ctx context.Context, req *linkpb.CallRequest) *linkpb.CallReply {
+	now := time.Now()
+	deadline := now.Add(time.Duration(req.TimeoutUs) * time.Microsecond)
+	reply := n.enter(ctx, req, now, deadline)
+	reply.Vm = n.cfg.VM
+	reply.Load = n.load(req.Kind)
+	return reply
+}
+
+func (n *Node) enter(ctx context.Context, req *linkpb.CallRequest, now, deadline time.Time) *linkpb.CallReply {
+	if n.stopping.Load() {
+		return refuse(contract.ReasonLeaving, "the node stops")
+	}
+	if state := n.target.state(); !state.Ready || state.Service != req.Service {
+		return refuse(contract.ReasonLeaving, "no upstream of the service takes work here")
+	}
+	permit, refusal := n.gate.Enter(ctx, now, doorRequest(req, now, deadline))
+	if refusal != nil {
+		reply := refuse(refusal.Reason, "no room")
+		reply.RetryAfterMs = uint32(refusal.Wait.Milliseconds())
+		return reply
+	}
+	reply := n.run(ctx, req, deadline)
+	n.gate.Done(time.Now(), permit, contract.Verdict(reply.Verdict) == contract.Ran)
+	return reply
+}
+
+// doorRequest is what the door needs to know. Calls of upstreams go before all
+// requests of clients: the work that they belong to has been let in already.
+func doorRequest(req *linkpb.CallRequest, now, deadline time.Time) door.Request {
+	r := door.Request{Kind: req.Kind, Rank: int(req.Rank) + 1, Deadline: deadline}
+	if req.Inner {
+		r.Rank = 0
+	}
+	if req.ObjectiveUs > 0 {
+		r.Useful = now.Add(time.Duration(req.ObjectiveUs) * time.Microsecond)
+	}
+	return r
+}
+
+// run hands an admitted request to the upstream. From here on only the
+// upstream's client knows whether it may have run.
+func (n *Node) run(ctx context.Context, req *linkpb.CallRequest, deadline time.Time) *linkpb.CallReply {
+	state := n.target.state()
+	if !state.Ready || state.Service != req.Service {
+		return refuse(contract.ReasonLeaving, "the upstream has left")
+	}
+	if !req.Idempotent {
+		if !n.handed.take(req.AttemptId) {
+			return lost(contract.ReasonOrderRunning, "an order of this id was handed over already")
+		}
+		// An order that has begun is not cut off by a client that leaves.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	hreq, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(hreq)
+	defer fasthttp.ReleaseResponse(answer)
+	n.build(hreq, req, state, deadline)
+	out := n.upstream.Do(ctx, upstream.Request{
+		HTTP:       hreq,
+		Order:      !req.Idempotent,
+		MaxAnswer:  maxAnswer,
+		Judge:      platform.Judge,
+		Belongs:    func(a *fasthttp.Response) bool { return platform.Belongs(a, req.AttemptId) },
+		UntilClose: true,
+	}, answer)
+	n.learn(state, out, answer)
+	if out.Verdict == contract.NotRun && !req.Idempotent {
+		n.handed.give(req.AttemptId)
+	}
+	return replyOf(out, answer)
+}
+
+// maxAnswer bounds the body of an answer, in bytes: one message of a link.
+const maxAnswer = 9 << 20
+
+func (n *Node) build(hreq *fasthttp.Request, req *linkpb.CallRequest, state instance.State, deadline time.Time) {
+	hreq.Header.DisableNormalizing()
+	hreq.Header.SetMethod(req.Method)
+	hreq.Header.SetRequestURI(req.Uri)
+	for _, h := range req.Headers {
+		hreq.Header.AddBytesKV(h.Name, h.Value)
+	}
+	hreq.Header.SetHost(req.Host)
+	platform.SetOutbound(&hreq.Header, platform.Outbound{
+		Attempt:  req.AttemptId,
+		Left:     time.Until(deadline),
+		Instance: state.ID,
+		Caller:   req.FromService,
+	})
+	hreq.SetBody(req.Body)
+}
+
+// learn takes in what an attempt says about the upstream itself.
+func (n *Node) learn(state instance.State, out upstream.Outcome, answer *fasthttp.Response) {
+	switch {
+	case out.Reason == contract.ReasonStaleTarget:
+		actual := platform.InstanceOf(answer)
+		n.target.change("answer", func(b *instance.Book) instance.Change { return b.Misdirected(state.ID, actual) })
+	case out.Reason == contract.ReasonUpstreamFailed && out.Verdict == contract.NotRun:
+		n.target.change("connection", func(b *instance.Book) instance.Change { return b.Refused(state.ID) })
+	}
+}
+
+func replyOf(out upstream.Outcome, answer *fasthttp.Response) *linkpb.CallReply {
+	reply := &linkpb.CallReply{
+		Verdict:      uint32(out.Verdict),
+		Reason:       uint32(out.Reason),
+		Detail:       out.Detail,
+		RetryAfterMs: uint32(out.RetryAfter.Milliseconds()),
+	}
+	if out.Verdict != contract.Ran {
+		return reply
+	}
+	reply.Status = uint32(answer.StatusCode())
+	reply.Headers = front.CopyHeadersIf(&answer.Header, platform.PassesAnswer)
+	reply.Body = append([]byte(nil), answer.Body()...)
+	return reply
+}
+
+// load is what rides back on each reply.
+func (n *Node) load(kind string) *linkpb.Load {
+	l := n.gate.Load(time.Now(), kind)
+	return &linkpb.Load{
+		InFlight:  uint32(l.InFlight),
+		Waiting:   uint32(l.Waiting),
+		Limit:     uint32(l.Slots),
+		LatencyUs: uint32(l.Latency.Microseconds()),
+		Leaving:   n.stopping.Load() || !n.target.state().Ready,
+		Cold:      l.Cold,
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,7 +27,7 @@
 	// dialTimeout bounds the making of a connection.
 	dialTimeout = 500 * time.Millisecond
 	// maxIdleAge is the age at which an idle connection is no longer used.
-	maxIdleAge = 20 * time.Second
+	maxIdleAge = 8 * time.Second
 	// maxIdleAgeOrder is the same for orders, which can't be sent again when
 	// the upstream closes an idle connection under them.
 	maxIdleAgeOrder = 2 * time.Second
@@ -43,6 +44,18 @@
 	Order bool
 	// MaxAnswer bounds the body of the answer, in bytes.
 	MaxAnswer int
+	// Judge says what a whole answer means; nil stands for the product's own
+	// headers.
+	Judge func(*fasthttp.Response) Outcome
+	// Belongs reports whether an answer is to this request: an upstream may
+	// send a late second answer to an earlier one. nil: every answer is.
+	Belongs func(*fasthttp.Response) bool
+	// UntilClose accepts answers without a length that end with a clean close
+	// of their connection.
+	UntilClose bool
+	// Sent is called once the whole request was handed to the connection; nil
+	// for nothing.
+	Sent func()
 }
 
 // Outcome says how a request ended. Reason is ReasonNone where the upstream
@@ -72,6 +85,36 @@
 	w       *bufio.Writer
 	usedAt  time.Time
 	written int
+	// keep is how long the upstream keeps the connection idle; 0 is unknown.
+	keep time.Duration
+}
+
+// keepMargin is how much earlier than the upstream an idle connection is given
+// up.
+const keepMargin = time.Second
+
+// noteKeepAlive reads the idle time that the upstream tells, in whole seconds.
+func (c *conn) noteKeepAlive(answer *fasthttp.Response) {
+	_, text, found := strings.Cut(string(answer.Header.Peek("Keep-Alive")), "timeout=")
+	if !found {
+		return
+	}
+	text, _, _ = strings.Cut(text, ",")
+	if s, err := strconv.Atoi(strings.TrimSpace(text)); err == nil && s > 0 {
+		c.keep = time.Duration(s) * time.Second
+	}
+}
+
+// maxAge is the age at which the idle connection is no longer used.
+func (c *conn) maxAge(order bool) time.Duration {
+	age := maxIdleAge
+	if order {
+		age = maxIdleAgeOrder
+	}
+	if c.keep > 0 {
+		age = min(age, c.keep-keepMargin)
+	}
+	return age
 }
 
 // Write counts the bytes handed to the kernel.
@@ -131,15 +174,46 @@
 		stop()
 		return failed(ctx, cn.written, "send", err), false
 	}
-	err = read(cn.r, req, answer)
+	if req.Sent != nil {
+		req.Sent()
+	}
+	err = readOwn(cn.r, req, answer)
 	untouched := stop()
 	if err != nil {
 		return readFailed(ctx, cn.written, answer, err), false
 	}
-	reusable := untouched && !answer.ConnectionClose() && cn.r.Buffered() == 0
+	framed := answer.Header.ContentLength() != untilClose
+	reusable := untouched && framed && !answer.ConnectionClose() && cn.r.Buffered() == 0
+	cn.noteKeepAlive(answer)
+	if req.Judge != nil {
+		return req.Judge(answer), reusable
+	}
 	return judge(answer), reusable
 }
 
+// maxForeign bounds the answers to earlier requests that are skipped.
+const maxForeign = 2
+
+// errForeign means that only answers to other requests came.
+var errForeign = errors.New("answers belong to other requests")
+
+// readOwn reads answers until one belongs to the request.
+func readOwn(r *bufio.Reader, req Request, answer *fasthttp.Response) error {
+	for range maxForeign + 1 {
+		if err := read(r, req, answer); err != nil {
+			return err
+		}
+		if req.Belongs == nil || req.Belongs(answer) {
+			return nil
+		}
+		if answer.ConnectionClose() {
+			break
+		}
+	}
+	answer.Reset()
+	return errForeign
+}
+
 // errNoEnd means that the end of an answer can't be told from a cut.
 var errNoEnd = errors.New("answer with neither a length nor chunks")
 
@@ -159,7 +233,7 @@
 	}
 	answer.SkipBody = false
 	length := answer.Header.ContentLength()
-	if length == untilClose {
+	if length == untilClose && !req.UntilClose {
 		return errNoEnd
 	}
 	if err := answer.ReadBody(r, req.MaxAnswer); err != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,16 +10,12 @@
 
 // take returns an idle connection that is still open, or a new one.
 func (c *Client) take(ctx context.Context, order bool) (*conn, error) {
-	maxAge := maxIdleAge
-	if order {
-		maxAge = maxIdleAgeOrder
-	}
 	for {
 		cn := c.pop()
 		if cn == nil {
 			return c.open(ctx)
 		}
-		if time.Since(cn.usedAt) < maxAge && stillOpen(cn.Conn) {
+		if time.Since(cn.usedAt) < cn.maxAge(order) && stillOpen(cn.Conn) {
 			return cn, nil
 		}
 		_ = cn.Close()
