--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	linkpb "heathershed/api/link"
@@ -36,7 +36,11 @@
 	route   *routes.Route
 	service string
 	// inner: the own upstream asks, not a client.
-	inner    bool
+	inner bool
+	// parent is the route of the request that an inner call belongs to.
+	parent string
+	// level is that of the root request.
+	level    contract.Level
 	deadline time.Time
 	// useful is until when the answer has its full worth; zero: the deadline.
 	useful  time.Time
@@ -55,13 +59,22 @@
 	c, reply := n.accept(rc, began)
 	if reply == nil {
 		ctx, cancel := context.WithDeadline(ctx, c.deadline)
-		reply = n.send(ctx, c)
+		reply = n.seeThrough(ctx, c)
 		cancel()
 	}
 	n.answer(rc, c, reply)
 	n.logEnd(c, reply, time.Since(began))
 }
 
+// seeThrough sends a call, unless what it will meet on its way sheds it.
+func (n *Node) seeThrough(ctx context.Context, c *call) *linkpb.CallReply {
+	threshold := n.pressure.Threshold(time.Now(), c.service, c.route.Name)
+	if !c.inner && c.level < threshold {
+		return refuse(contract.ReasonOverload, "shed at the front")
+	}
+	return n.send(ctx, c)
+}
+
 // accept turns a request into a call, or into the reply that ends it.
 func (n *Node) accept(rc *fasthttp.RequestCtx, now time.Time) (*call, *linkpb.CallReply) {
 	c := &call{}
@@ -90,29 +103,33 @@
 	}
 	c.route = route
 	c.service = n.split.Next(route)
-	c.inner = n.fromUpstream(rc.RemoteAddr())
-	n.bound(c, now)
+	origin := n.lineage.Find(now, route.Name, in.Remaining)
+	c.inner, c.parent, c.level = origin.Inner, origin.Parent.Kind, origin.Parent.Level
+	if !c.inner {
+		c.level = levelOf(route.Rank, c.attempt)
+	}
+	n.bound(c, now, origin.Elapsed)
 	c.method = string(rc.Method())
 	c.headers = front.CopyHeadersIf(&rc.Request.Header, platform.PassesRequest)
 	c.body = append([]byte(nil), rc.Request.Body()...)
 	return c, nil
 }
 
-// bound sets the times of a call.
-func (n *Node) bound(c *call, now time.Time) {
+// bound sets the times of a call whose client has waited before.
+func (n *Node) bound(c *call, now time.Time, elapsed time.Duration) {
 	if t := c.route.Timeout; t > 0 && now.Add(t).Before(c.deadline) {
 		c.deadline = now.Add(t)
 	}
-	if o := c.route.Objective; o > 0 && c.route.Idempotent && !c.inner {
+	if o := c.route.Objective - elapsed; o > 0 && c.route.Idempotent && !c.inner {
 		c.useful = now.Add(o)
 	}
 }
 
-// fromUpstream reports whether a connection comes from the own upstream.
-func (n *Node) fromUpstream(remote net.Addr) bool {
-	host, _, err := net.SplitHostPort(remote.String())
-	own, _, _ := net.SplitHostPort(n.cfg.Upstream)
-	return err == nil && host == own
+// levelOf is the level of a client's request: by the urgency of its route and,
+// within it, by a number that is the same at every hop.
+func levelOf(rank int, attempt string) contract.Level {
+	class := max(contract.NumClasses-1-max(rank, 0), 0)
+	return contract.LevelOf(contract.Class(class), uint16(xxhash.Sum64String(attempt)%contract.RanksPerClass))
 }
 
 // refuse is the reply to a request that has not run.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -26,6 +26,8 @@
 	"heathershed/internal/upstream"
 	"heathershed/internal/version"
 	"heathershed/internal/vm/door"
+	"heathershed/internal/vm/lineage"
+	"heathershed/internal/vm/pressure"
 	"heathershed/platform"
 )
 
@@ -54,6 +56,8 @@
 	objects  *platform.Objects
 	target   *target
 	handed   *handed
+	lineage  *lineage.Book
+	pressure *pressure.Table
 	budget   *budget
 	peers    *peers
 
@@ -92,6 +96,8 @@
 		upstream:    upstream.New(cfg.Upstream, maxIdleConns),
 		objects:     platform.NewObjects(cfg.Platform),
 		handed:      newHanded(),
+		lineage:     lineage.New(),
+		pressure:    pressure.New(),
 		budget:      newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
 		announce:    make(chan struct{}, 1),
 	}
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -119,10 +119,25 @@
 	} else {
 		reply = n.links.Call(ctx, choice.VM, req)
 	}
-	n.fleet.Done(time.Now(), choice, resultOf(c, reply))
+	now := time.Now()
+	n.fleet.Done(now, choice, resultOf(c, reply))
+	n.observe(now, c, reply)
 	return reply
 }
 
+// observe notes the threshold that rides back on an answer.
+func (n *Node) observe(now time.Time, c *call, reply *linkpb.CallReply) {
+	if reply.Load == nil {
+		return
+	}
+	level := contract.Level(reply.Load.ChainLevel)
+	if c.inner {
+		n.pressure.ObserveUnder(now, c.parent, c.service, c.route.Name, level)
+		return
+	}
+	n.pressure.Observe(now, c.service, c.route.Name, level)
+}
+
 func (n *Node) request(c *call, choice fleet.Choice) *linkpb.CallRequest {
 	now := time.Now()
 	req := &linkpb.CallRequest{
@@ -139,6 +154,7 @@
 		Service:     choice.Service,
 		AttemptId:   c.attempt,
 		Inner:       c.inner,
+		Level:       uint32(c.level),
 		Idempotent:  c.route.Idempotent,
 	}
 	if !c.useful.IsZero() {
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -12,6 +12,7 @@
 	"heathershed/internal/upstream"
 	"heathershed/internal/vm/door"
 	"heathershed/internal/vm/instance"
+	"heathershed/internal/vm/lineage"
 	"heathershed/platform"
 )
 
@@ -82,7 +83,10 @@
 	hreq, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(hreq)
 	defer fasthttp.ReleaseResponse(answer)
-	n.build(hreq, req, state, deadline)
+	left := time.Until(deadline).Truncate(time.Millisecond)
+	n.build(hreq, req, state, left)
+	number := n.lineage.Begin(lineage.Parent{Kind: req.Kind, Level: contract.Level(req.Level), Deadline: time.Now().Add(left)})
+	defer n.lineage.End(number)
 	out := n.upstream.Do(ctx, upstream.Request{
 		HTTP:       hreq,
 		Order:      !req.Idempotent,
@@ -101,7 +105,7 @@
 // maxAnswer bounds the body of an answer, in bytes: one message of a link.
 const maxAnswer = 9 << 20
 
-func (n *Node) build(hreq *fasthttp.Request, req *linkpb.CallRequest, state instance.State, deadline time.Time) {
+func (n *Node) build(hreq *fasthttp.Request, req *linkpb.CallRequest, state instance.State, left time.Duration) {
 	hreq.Header.DisableNormalizing()
 	hreq.Header.SetMethod(req.Method)
 	hreq.Header.SetRequestURI(req.Uri)
@@ -111,7 +115,7 @@
 	hreq.Header.SetHost(req.Host)
 	platform.SetOutbound(&hreq.Header, platform.Outbound{
 		Attempt:  req.AttemptId,
-		Left:     time.Until(deadline),
+		Left:     left,
 		Instance: state.ID,
 		Caller:   req.FromService,
 	})
@@ -149,11 +153,13 @@
 func (n *Node) load(kind string) *linkpb.Load {
 	l := n.gate.Load(time.Now(), kind)
 	return &linkpb.Load{
-		InFlight:  uint32(l.InFlight),
-		Waiting:   uint32(l.Waiting),
-		Limit:     uint32(l.Slots),
-		LatencyUs: uint32(l.Latency.Microseconds()),
-		Leaving:   n.stopping.Load() || !n.target.state().Ready,
-		Cold:      l.Cold,
+		InFlight:   uint32(l.InFlight),
+		Waiting:    uint32(l.Waiting),
+		Limit:      uint32(l.Slots),
+		LatencyUs:  uint32(l.Latency.Microseconds()),
+		Leaving:    n.stopping.Load() || !n.target.state().Ready,
+		Cold:       l.Cold,
+		Level:      uint32(l.Threshold),
+		ChainLevel: uint32(max(l.Threshold, n.pressure.Chain(time.Now(), kind))),
 	}
 }
--- a/internal/vm/door/door.go
+++ b/internal/vm/door/door.go
@@ -52,6 +52,8 @@
 	// Latency is the recent mean of the upstream, of one kind or of all.
 	Latency time.Duration
 	Cold    bool
+	// Threshold is the level below which requests should not be sent.
+	Threshold contract.Level
 }
 
 // state of an entry.
@@ -80,12 +82,24 @@
 	slots    int
 	inFlight int
 	// queue is by rank, then by arrival.
-	queue []*entry
-	times times
+	queue   []*entry
+	times   times
+	shedder shedder
+}
+
+// look moves the threshold; it is called before each event.
+func (c *controller) look(now time.Time) {
+	if c.slots < 1 {
+		return
+	}
+	mean := c.times.mean()
+	wait := time.Duration(len(c.queue)) * mean / time.Duration(c.slots)
+	c.shedder.look(now, wait, mean, float64(c.inFlight)/float64(c.slots))
 }
 
 // offer starts the request, queues it or refuses it.
 func (c *controller) offer(now time.Time, r Request) (*entry, *Refusal) {
+	c.look(now)
 	e := &entry{Request: r, since: now}
 	if c.inFlight < c.slots && len(c.queue) == 0 {
 		c.start(now, e)
@@ -136,6 +150,7 @@
 	if e.state != running {
 		return
 	}
+	c.look(now)
 	e.state = ended
 	c.inFlight--
 	if ran {
--- a/internal/vm/door/gate.go
+++ b/internal/vm/door/gate.go
@@ -109,11 +109,13 @@
 	if kind == "" {
 		latency = g.c.times.mean()
 	}
+	g.c.look(now)
 	return Load{
-		InFlight: g.c.inFlight,
-		Waiting:  len(g.c.queue),
-		Slots:    g.c.slots,
-		Latency:  latency,
-		Cold:     now.Before(g.warmAt),
+		Threshold: g.c.shedder.threshold(),
+		InFlight:  g.c.inFlight,
+		Waiting:   len(g.c.queue),
+		Slots:     g.c.slots,
+		Latency:   latency,
+		Cold:      now.Before(g.warmAt),
 	}
 }
