--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -51,12 +51,15 @@
 	return reply
 }
 
-// doorRequest is what the door needs to know. Calls of upstreams go before all
-// requests of clients: the work that they belong to has been let in already.
+// doorRequest is what the door needs to know. The class of the root request
+// goes first; within it, calls of upstreams go before requests of clients: the
+// work that they belong to has been let in already.
 func doorRequest(req *linkpb.CallRequest, now, deadline time.Time) door.Request {
-	r := door.Request{Kind: req.Kind, Rank: int(req.Rank) + 1, Deadline: deadline}
+	const ranksPerClass = 2
+	class := int(contract.Level(req.Level).Class())
+	r := door.Request{Kind: req.Kind, Rank: ranksPerClass * (contract.NumClasses - class), Deadline: deadline}
 	if req.Inner {
-		r.Rank = 0
+		r.Rank--
 	}
 	if req.ObjectiveUs > 0 {
 		r.Useful = now.Add(time.Duration(req.ObjectiveUs) * time.Microsecond)
--- a/internal/vm/lineage/lineage.go
+++ b/internal/vm/lineage/lineage.go
@@ -149,7 +149,7 @@
 		return p, true
 	}
 	if isWhole && r.shorter.most() {
-		return b.highest(r)
+		return b.lowest(r, now.Add(left))
 	}
 	return Parent{}, false
 }
@@ -179,11 +179,14 @@
 	return p, found
 }
 
-// highest returns the running request of the route's parents with the highest
-// level: which one of them calls can't be told.
-func (b *Book) highest(r *route) (p Parent, found bool) {
+// lowest returns the running request of the route's parents with the lowest
+// level that ends after the call: which one of them calls can't be told.
+func (b *Book) lowest(r *route, deadline time.Time) (p Parent, found bool) {
 	for _, c := range b.running {
-		if r.parents[c.Kind] && (!found || c.Level > p.Level) {
+		if !r.parents[c.Kind] || c.Deadline.Before(deadline.Add(-early)) {
+			continue
+		}
+		if !found || c.Level < p.Level {
 			p, found = c, true
 		}
 	}
