Doors tell which routes only upstreams call

Change: a door counts from the nodes of which services a route's requests come. Left: the threshold swings past the class that is to be shed.

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -25,6 +25,7 @@
 	"heathershed/internal/settings"
 	"heathershed/internal/upstream"
 	"heathershed/internal/version"
+	"heathershed/internal/vm/callers"
 	"heathershed/internal/vm/door"
 	"heathershed/internal/vm/lineage"
 	"heathershed/internal/vm/pressure"
@@ -57,6 +58,7 @@
 	target   *target
 	handed   *handed
 	lineage  *lineage.Book
+	callers  *callers.Book
 	pressure *pressure.Table
 	budget   *budget
 	peers    *peers
@@ -97,6 +99,7 @@
 		objects:     platform.NewObjects(cfg.Platform),
 		handed:      newHanded(),
 		lineage:     lineage.New(),
+		callers:     callers.New(),
 		pressure:    pressure.New(),
 		budget:      newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
 		announce:    make(chan struct{}, 1),
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -130,6 +130,7 @@
 	if reply.Load == nil {
 		return
 	}
+	n.lineage.Told(c.route.Name, reply.CallsOnly)
 	level := contract.Level(reply.Load.ChainLevel)
 	if c.inner {
 		n.pressure.ObserveUnder(now, c.parent, c.service, c.route.Name, level)
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -30,6 +30,7 @@
 	reply := n.enter(ctx, req, now, deadline)
 	reply.Vm = n.cfg.VM
 	reply.Load = n.load(req.Kind)
+	reply.CallsOnly = n.callers.Note(now, req.Kind, req.FromService)
 	return reply
 }
 
--- a/internal/vm/lineage/lineage.go
+++ b/internal/vm/lineage/lineage.go
@@ -8,7 +8,8 @@
 // was found to make such calls.
 //
 // Clients' requests match a deadline by chance now and then; a route is taken
-// for one of calls only where most of its requests match.
+// for one of calls only where most of its requests match, or where the doors
+// that run it have seen that only upstreams call it.
 package lineage
 
 import (
@@ -73,6 +74,8 @@
 	longest time.Duration
 	// all is over all requests, shorter over those without their whole time.
 	all, shorter share
+	// told: the doors say that only upstreams call it.
+	told bool
 	// parents are the kinds that were found to make such calls.
 	parents map[string]bool
 }
@@ -141,19 +144,28 @@
 	if !isWhole {
 		r.shorter.note(matched)
 	}
-	if !r.all.most() && !r.shorter.most() {
+	if !r.all.most() && !r.shorter.most() && !r.told {
 		return Parent{}, false
 	}
 	if matched {
 		r.parents[p.Kind] = true
 		return p, true
 	}
-	if isWhole && r.shorter.most() {
-		return b.lowest(r, now.Add(left))
+	if r.told || isWhole && r.shorter.most() {
+		return b.lowest(r, name, now.Add(left))
 	}
 	return Parent{}, false
 }
 
+// Told takes in what a door has seen: whether only upstreams call the route.
+func (b *Book) Told(name string, calls bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.route(name); r != nil {
+		r.told = calls
+	}
+}
+
 func (b *Book) route(name string) *route {
 	r := b.routes[name]
 	if r == nil && len(b.routes) < maxRoutes {
@@ -179,11 +191,15 @@
 	return p, found
 }
 
-// lowest returns the running request of the route's parents with the lowest
-// level that ends after the call: which one of them calls can't be told.
-func (b *Book) lowest(r *route, deadline time.Time) (p Parent, found bool) {
+// lowest returns the running request with the lowest level that ends after the
+// call: which one of them calls can't be told. Where kinds are known to make
+// such calls, it is of one of them.
+func (b *Book) lowest(r *route, name string, deadline time.Time) (p Parent, found bool) {
 	for _, c := range b.running {
-		if !r.parents[c.Kind] || c.Deadline.Before(deadline.Add(-early)) {
+		if c.Kind == name || c.Deadline.Before(deadline.Add(-early)) {
+			continue
+		}
+		if len(r.parents) > 0 && !r.parents[c.Kind] {
 			continue
 		}
 		if !found || c.Level < p.Level {
