The door's threshold follows the demand, not the queue

Cause: the threshold was an integral over the queue, which is an integral over the excess itself, with half a second of delay: it swung past the class that is to be shed, and the slots at the bottom stood idle in between. Change: an integral over the demand in parts of the slots (work offered, by the kind's own latency), the queue adds to it only while it is long; a call whose parent can't be told is not charged to kinds that make no calls.

--- a/internal/vm/door/door.go
+++ b/internal/vm/door/door.go
@@ -94,12 +94,13 @@
 	}
 	mean := c.times.mean()
 	wait := time.Duration(len(c.queue)) * mean / time.Duration(c.slots)
-	c.shedder.look(now, wait, mean, float64(c.inFlight)/float64(c.slots))
+	c.shedder.look(now, wait, mean, c.slots)
 }
 
 // offer starts the request, queues it or refuses it.
 func (c *controller) offer(now time.Time, r Request) (*entry, *Refusal) {
 	c.look(now)
+	c.shedder.offered(c.times.expected(r.Kind))
 	e := &entry{Request: r, since: now}
 	if c.inFlight < c.slots && len(c.queue) == 0 {
 		c.start(now, e)
--- a/internal/vm/lineage/lineage.go
+++ b/internal/vm/lineage/lineage.go
@@ -76,8 +76,9 @@
 	all, shorter share
 	// told: the doors say that only upstreams call it.
 	told bool
-	// parents are the kinds that were found to make such calls.
-	parents map[string]bool
+	// parents counts, by kind, the requests that were found to make such
+	// calls.
+	parents map[string]int
 }
 
 // Book holds the requests that the upstream runs. Use New; it is safe for
@@ -148,7 +149,7 @@
 		return Parent{}, false
 	}
 	if matched {
-		r.parents[p.Kind] = true
+		r.parents[p.Kind]++
 		return p, true
 	}
 	if r.told || isWhole && r.shorter.most() {
@@ -169,7 +170,7 @@
 func (b *Book) route(name string) *route {
 	r := b.routes[name]
 	if r == nil && len(b.routes) < maxRoutes {
-		r = &route{parents: make(map[string]bool)}
+		r = &route{parents: make(map[string]int)}
 		b.routes[name] = r
 	}
 	return r
@@ -192,19 +193,32 @@
 }
 
 // lowest returns the running request with the lowest level that ends after the
-// call: which one of them calls can't be told. Where kinds are known to make
-// such calls, it is of one of them.
+// call and may make it: which one of them does can't be told. Its kind is empty
+// where that can't be told either.
 func (b *Book) lowest(r *route, name string, deadline time.Time) (p Parent, found bool) {
+	certain := true
 	for _, c := range b.running {
-		if c.Kind == name || c.Deadline.Before(deadline.Add(-early)) {
-			continue
-		}
-		if len(r.parents) > 0 && !r.parents[c.Kind] {
+		if c.Kind == name || c.Deadline.Before(deadline.Add(-early)) || !r.makes(c.Kind) {
 			continue
 		}
+		certain = certain && (!found || c.Kind == p.Kind)
 		if !found || c.Level < p.Level {
 			p, found = c, true
 		}
 	}
+	if !certain && len(r.parents) == 0 {
+		p.Kind = ""
+	}
 	return p, found
 }
+
+// makes reports whether requests of a kind may make such calls. Matches by
+// chance are few beside the true ones.
+func (r *route) makes(kind string) bool {
+	const few = 5
+	most := 0
+	for _, n := range r.parents {
+		most = max(most, n)
+	}
+	return r.parents[kind]*few >= most
+}
