One client for the object API, by its published protocol

Cause: the product's own client and stand-in spoke a protocol of their own. The contract tests of the stores and of the command pass unchanged. Limit: a value travels in base64, so the platform's bound of 1 MiB an object leaves 750 KiB for a catalogue.

--- a/cmd/heathershed/store.go
+++ b/cmd/heathershed/store.go
@@ -10,7 +10,7 @@
 
 	"heathershed/internal/catalogue"
 	"heathershed/internal/platform"
-	"heathershed/internal/platform/httpstore"
+	"heathershed/internal/platform/objectstore"
 	"heathershed/internal/platform/resolve"
 )
 
@@ -23,7 +23,7 @@
 	if len(inv.settings.platform) == 0 {
 		return nil, usagef("no address of the platform: give -platform or set HEATHERSHED_PLATFORM")
 	}
-	client, err := httpstore.New(httpstore.Options{Addresses: inv.settings.platform})
+	client, err := objectstore.New(inv.settings.platform)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,7 +27,7 @@
 	"heathershed/internal/order"
 	"heathershed/internal/order/homes"
 	"heathershed/internal/platform"
-	"heathershed/internal/platform/httpstore"
+	"heathershed/internal/platform/objectstore"
 	"heathershed/internal/platform/resolve"
 	"heathershed/internal/settings"
 	"heathershed/internal/timeline"
@@ -112,7 +112,7 @@
 
 // New returns a node with checked settings. Nothing is opened before Run.
 func New(cfg *settings.Settings, log *slog.Logger) (*Node, error) {
-	inner, err := httpstore.New(httpstore.Options{Addresses: cfg.Platform})
+	inner, err := objectstore.New(cfg.Platform)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/platform/objectstore/objectstore.go
@@ -0,0 +1,152 @@
+// Package objectstore keeps the product's own values in the platform's object
+// API: a Store over its one client. Each call is sent once; a repeated write is
+// a decision of the layer above.
+package objectstore
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	store "heathershed/internal/platform"
+	"heathershed/platform"
+)
+
+// maxWait bounds the wait of a watch.
+const maxWait = 30 * time.Second
+
+// Store is a platform.Store. It is safe for concurrent use.
+type Store struct {
+	clients []*platform.Objects
+	at      atomic.Uint32 // index of the client in use, modulo their number
+}
+
+var _ store.Store = (*Store)(nil)
+
+// New returns a Store over the API at the addresses, ip:port; the next one is
+// used after a failure. Nothing is dialled yet.
+func New(addresses []string) (*Store, error) {
+	if len(addresses) == 0 {
+		return nil, errors.New("platform: no address")
+	}
+	s := &Store{}
+	for _, a := range addresses {
+		s.clients = append(s.clients, platform.NewObjects(a))
+	}
+	return s, nil
+}
+
+// client returns the client in use and what to call with the outcome.
+func (s *Store) client() (c *platform.Objects, ended func(error)) {
+	index := s.at.Load()
+	return s.clients[int(index)%len(s.clients)], func(err error) {
+		if errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUnknown) {
+			s.at.CompareAndSwap(index, index+1)
+		}
+	}
+}
+
+// Get implements platform.Store.
+func (s *Store) Get(ctx context.Context, key string) (store.Object, error) {
+	c, ended := s.client()
+	o, err := c.Get(ctx, platform.KeeperKind, key)
+	ended(err)
+	if err != nil {
+		return store.Object{}, err
+	}
+	return objectOf(o)
+}
+
+// List implements platform.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]store.Object, store.Version, error) {
+	c, ended := s.client()
+	all, at, err := c.List(ctx, platform.KeeperKind, false)
+	ended(err)
+	if err != nil {
+		return nil, 0, err
+	}
+	objects := make([]store.Object, 0, len(all))
+	for _, o := range all {
+		if !strings.HasPrefix(o.Name, prefix) {
+			continue
+		}
+		object, err := objectOf(o)
+		if err != nil {
+			return nil, 0, err
+		}
+		objects = append(objects, object)
+	}
+	return objects, store.Version(at), nil
+}
+
+// Put implements platform.Store.
+func (s *Store) Put(ctx context.Context, key string, value []byte, base store.Version, writeID string) (store.Object, error) {
+	if len(value) > store.MaxValue {
+		return store.Object{}, store.ErrTooLarge
+	}
+	spec, err := platform.EncodeKept(writeID, value)
+	if err != nil {
+		return store.Object{}, err
+	}
+	c, ended := s.client()
+	o, err := c.Put(ctx, platform.KeeperKind, platform.Object{Name: key, Revision: uint64(base), Spec: spec})
+	ended(err)
+	if err != nil {
+		return store.Object{}, err
+	}
+	return store.Object{Key: key, Version: store.Version(o.Revision), WriteID: writeID, Value: value}, nil
+}
+
+// Delete implements platform.Store.
+func (s *Store) Delete(ctx context.Context, key string, base store.Version) error {
+	c, ended := s.client()
+	err := c.Delete(ctx, platform.KeeperKind, key, uint64(base))
+	ended(err)
+	return err
+}
+
+// Watch implements platform.Store. Without a change it returns no events and
+// the same version after at most maxWait.
+func (s *Store) Watch(ctx context.Context, prefix string, after store.Version) ([]store.Event, store.Version, error) {
+	wait := maxWait
+	if d, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(d))
+	}
+	c, ended := s.client()
+	all, at, err := c.Watch(ctx, platform.KeeperKind, uint64(after), max(wait, time.Millisecond))
+	ended(err)
+	if err != nil {
+		return nil, after, err
+	}
+	events := make([]store.Event, 0, len(all))
+	for _, e := range all {
+		if !strings.HasPrefix(e.Object.Name, prefix) {
+			continue
+		}
+		event, err := eventOf(e)
+		if err != nil {
+			return nil, after, err
+		}
+		events = append(events, event)
+	}
+	return events, store.Version(at), nil
+}
+
+func objectOf(o platform.Object) (store.Object, error) {
+	id, value, err := platform.DecodeKept(o.Spec)
+	if err != nil {
+		return store.Object{}, errors.Mark(errors.Wrapf(err, "object %q", o.Name), store.ErrUnavailable)
+	}
+	return store.Object{Key: o.Name, Version: store.Version(o.Revision), WriteID: id, Value: value}, nil
+}
+
+func eventOf(e platform.Event) (store.Event, error) {
+	if e.Gone {
+		return store.Event{Object: store.Object{Key: e.Object.Name, Version: store.Version(e.Object.Revision)}, Deleted: true}, nil
+	}
+	o, err := objectOf(e.Object)
+	return store.Event{Object: o}, err
+}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -10,7 +10,7 @@
 
 	"heathershed/internal/platform"
 	"heathershed/internal/platform/fake"
-	"heathershed/internal/platform/httpstore"
+	"heathershed/internal/platform/objectstore"
 	"heathershed/internal/platform/resolve"
 	"heathershed/internal/platform/standin"
 )
@@ -26,7 +26,7 @@
 		srv := standin.New(f)
 		go func() { _ = srv.Serve(l) }()
 		t.Cleanup(func() { _ = srv.Shutdown(context.Background()) })
-		s, err := httpstore.New(httpstore.Options{Addresses: []string{l.Addr().String()}})
+		s, err := objectstore.New([]string{l.Addr().String()})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -140,7 +140,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := httpstore.New(httpstore.Options{Addresses: []string{l.Addr().String()}})
+	s, err := objectstore.New([]string{l.Addr().String()})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/platform/standin/standin.go
+++ b/internal/platform/standin/standin.go
@@ -9,17 +9,17 @@
 	"context"
 	"encoding/json"
 	"net"
-	"net/url"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
-	"heathershed/internal/platform"
+	store "heathershed/internal/platform"
 	"heathershed/internal/platform/fake"
 	"heathershed/internal/platform/wire"
+	"heathershed/platform"
 )
 
 // settleEvery is how often delayed writes are tried.
@@ -37,13 +37,13 @@
 }
 
 // New returns a server over the store; it serves once Serve is called.
-func New(store *fake.Store) *Server {
+func New(f *fake.Store) *Server {
 	ctx, stop := context.WithCancel(context.Background())
-	s := &Server{store: store, ctx: ctx, stop: stop}
+	s := &Server{store: f, ctx: ctx, stop: stop}
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
 		Name:                  "heathershed-platform",
-		MaxRequestBodySize:    2 * platform.MaxValue,
+		MaxRequestBodySize:    2 * store.MaxValue,
 		ReadTimeout:           readTimeout,
 		NoDefaultServerHeader: true,
 	}
@@ -78,106 +78,194 @@
 
 func (s *Server) handle(c *fasthttp.RequestCtx) {
 	path := string(c.URI().PathOriginal())
-	switch {
-	case strings.HasPrefix(path, wire.PathObjects):
-		s.object(c, path[len(wire.PathObjects):])
-	case path == wire.PathList:
-		s.list(c)
-	case path == wire.PathWatch:
-		s.watch(c)
-	case path == wire.PathFaults:
+	switch path {
+	case wire.PathFaults:
 		s.faults(c)
-	case path == wire.PathCounts:
+		return
+	case wire.PathCounts:
 		writeJSON(c, s.store.Counts())
-	default:
-		c.Error("no such path", fasthttp.StatusNotFound)
+		return
+	}
+	at, err := platform.ParseObjectPath(path)
+	if err != nil {
+		c.Error(err.Error(), fasthttp.StatusNotFound)
+		return
 	}
+	if at.Name == "" {
+		s.kind(c, at.Kind)
+		return
+	}
+	s.object(c, at)
 }
 
-func (s *Server) object(c *fasthttp.RequestCtx, escaped string) {
-	key, err := url.PathUnescape(escaped)
-	if err != nil || key == "" {
-		c.Error("bad key", fasthttp.StatusBadRequest)
-		return
+// kind serves the calls on all objects of a kind.
+func (s *Server) kind(c *fasthttp.RequestCtx, kind string) {
+	switch {
+	case c.IsPost():
+		s.put(c, kind, "")
+	case c.IsGet() && c.QueryArgs().Has(platform.ArgWatch):
+		s.watch(c, kind)
+	case c.IsGet():
+		s.list(c, kind)
+	default:
+		c.Error("GET or POST", fasthttp.StatusMethodNotAllowed)
 	}
+}
+
+// object serves the calls on one object.
+func (s *Server) object(c *fasthttp.RequestCtx, at platform.ObjectPath) {
+	key := keyOf(at.Kind, at.Name)
 	switch {
 	case c.IsGet():
 		o, err := s.store.Get(s.ctx, key)
-		s.answer(c, o, err, true)
+		s.answer(c, at.Kind, o, err)
 	case c.IsPut():
-		base, ok := version(c.Request.Header.Peek(wire.HeaderBase))
-		id := string(c.Request.Header.Peek(wire.HeaderWriteID))
-		if !ok || id == "" {
-			c.Error("base or write id missing", fasthttp.StatusBadRequest)
-			return
-		}
-		o, err := s.store.Put(s.ctx, key, c.PostBody(), base, id)
-		s.answer(c, o, err, false)
+		s.put(c, at.Kind, at.Name)
 	case c.IsDelete():
-		base, ok := version(c.Request.Header.Peek(wire.HeaderBase))
-		if !ok {
-			c.Error("base missing", fasthttp.StatusBadRequest)
-			return
+		base, err := s.base(key, c.QueryArgs().GetUintOrZero(platform.ArgRevision))
+		if err == nil {
+			err = s.store.Delete(s.ctx, key, base)
 		}
-		s.answer(c, platform.Object{}, s.store.Delete(s.ctx, key, base), false)
+		s.answer(c, at.Kind, store.Object{Key: key}, err)
 	default:
 		c.Error("GET, PUT or DELETE", fasthttp.StatusMethodNotAllowed)
 	}
 }
 
-func (s *Server) answer(c *fasthttp.RequestCtx, o platform.Object, err error, withValue bool) {
+// put creates the object named in the body where name is empty, else replaces
+// the named one.
+func (s *Server) put(c *fasthttp.RequestCtx, kind, name string) {
+	o, err := platform.DecodeObject(c.PostBody())
+	if err != nil || (name == "" && o.Name == "") {
+		c.Error("object unreadable", fasthttp.StatusBadRequest)
+		return
+	}
+	create := name == ""
+	if create {
+		name = o.Name
+	}
+	key := keyOf(kind, name)
+	var base store.Version
+	if !create {
+		if base, err = s.base(key, int(o.Revision)); err != nil {
+			fail(c, err)
+			return
+		}
+	}
+	id, value := uuid.NewString(), o.Spec
+	if kind == platform.KeeperKind {
+		if id, value, err = platform.DecodeKept(o.Spec); err != nil {
+			c.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+	}
+	written, err := s.store.Put(s.ctx, key, value, base, id)
+	s.answer(c, kind, written, err)
+}
+
+// base is the version that a write replaces; a write without a revision
+// replaces the present one.
+func (s *Server) base(key string, revision int) (store.Version, error) {
+	if revision > 0 {
+		return store.Version(revision), nil
+	}
+	o, err := s.store.Get(s.ctx, key)
+	return o.Version, err
+}
+
+func (s *Server) answer(c *fasthttp.RequestCtx, kind string, o store.Object, err error) {
 	if err != nil {
 		fail(c, err)
 		return
 	}
-	c.Response.Header.Set(wire.HeaderVersion, strconv.FormatUint(uint64(o.Version), 10))
-	c.Response.Header.Set(wire.HeaderWriteID, o.WriteID)
-	if withValue {
-		c.SetContentType("application/octet-stream")
-		c.SetBody(o.Value)
+	body, err := encode(kind, o)
+	if err != nil {
+		c.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
 	}
+	writeJSON(c, json.RawMessage(body))
 }
 
-func (s *Server) list(c *fasthttp.RequestCtx) {
-	objects, v, err := s.store.List(s.ctx, string(c.QueryArgs().Peek(wire.ArgPrefix)))
+// pageSize is the number of objects in one answer of a list.
+const pageSize = 500
+
+func (s *Server) list(c *fasthttp.RequestCtx, kind string) {
+	objects, v, err := s.store.List(s.ctx, prefixOf(kind))
 	if err != nil {
 		fail(c, err)
 		return
 	}
-	out := wire.List{Version: v, Objects: make([]wire.Object, 0, len(objects))}
+	after := string(c.QueryArgs().Peek(platform.ArgAfter))
+	out := platform.ListBody{AtRev: uint64(v)}
 	for _, o := range objects {
-		out.Objects = append(out.Objects, wire.FromObject(o))
+		if nameOf(kind, o.Key) <= after {
+			continue
+		}
+		if out.HasMore = len(out.Items) == pageSize; out.HasMore {
+			break
+		}
+		body, err := encode(kind, o)
+		if err != nil {
+			c.Error(err.Error(), fasthttp.StatusInternalServerError)
+			return
+		}
+		out.Items = append(out.Items, body)
 	}
 	writeJSON(c, out)
 }
 
-func (s *Server) watch(c *fasthttp.RequestCtx) {
-	after, ok := version(c.QueryArgs().Peek(wire.ArgAfter))
-	if !ok {
-		c.Error("after missing", fasthttp.StatusBadRequest)
-		return
-	}
-	wait := time.Duration(c.QueryArgs().GetUintOrZero(wire.ArgWaitMS)) * time.Millisecond
+func (s *Server) watch(c *fasthttp.RequestCtx, kind string) {
+	after := c.QueryArgs().GetUintOrZero(platform.ArgWatch)
+	wait := time.Duration(c.QueryArgs().GetUintOrZero(platform.ArgWait)) * time.Millisecond
 	if wait <= 0 || wait > wire.MaxWait {
 		wait = wire.MaxWait
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, wait)
 	defer cancel()
-	events, next, err := s.store.Watch(ctx, string(c.QueryArgs().Peek(wire.ArgPrefix)), after)
+	events, next, err := s.store.Watch(ctx, prefixOf(kind), store.Version(after))
 	if errors.Is(err, context.DeadlineExceeded) {
-		events, next, err = nil, after, nil
+		events, next, err = nil, store.Version(after), nil
 	}
 	if err != nil {
 		fail(c, err)
 		return
 	}
-	out := wire.Watch{Version: next, Events: make([]wire.Object, 0, len(events))}
+	out := platform.WatchBody{AtRev: uint64(next)}
 	for _, e := range events {
-		out.Events = append(out.Events, wire.FromEvent(e))
+		body, err := encode(kind, e.Object)
+		if err != nil {
+			c.Error(err.Error(), fasthttp.StatusInternalServerError)
+			return
+		}
+		out.Events = append(out.Events, platform.EventBody{IsGone: e.Deleted, Object: body})
 	}
 	writeJSON(c, out)
 }
 
+// keyOf is the key of an object in the fake: the product's own values keep
+// theirs.
+func keyOf(kind, name string) string { return prefixOf(kind) + name }
+
+func prefixOf(kind string) string {
+	if kind == platform.KeeperKind {
+		return ""
+	}
+	return kind + "/"
+}
+
+func nameOf(kind, key string) string { return strings.TrimPrefix(key, prefixOf(kind)) }
+
+func encode(kind string, o store.Object) ([]byte, error) {
+	spec := o.Value
+	if kind == platform.KeeperKind {
+		var err error
+		if spec, err = platform.EncodeKept(o.WriteID, o.Value); err != nil {
+			return nil, err
+		}
+	}
+	return platform.EncodeObject(platform.Object{Name: nameOf(kind, o.Key), Revision: uint64(o.Version), Spec: spec})
+}
+
 func (s *Server) faults(c *fasthttp.RequestCtx) {
 	if c.IsPost() {
 		var f fake.Faults
@@ -193,13 +281,13 @@
 // fail answers an error of the store as the platform would.
 func fail(c *fasthttp.RequestCtx, err error) {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		c.Error("not found", fasthttp.StatusNotFound)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		c.Error("conflict", fasthttp.StatusConflict)
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, store.ErrTooLarge):
 		c.Error("too large", fasthttp.StatusRequestEntityTooLarge)
-	case errors.Is(err, platform.ErrCompacted):
+	case errors.Is(err, store.ErrCompacted):
 		c.Error("compacted", fasthttp.StatusGone)
 	default:
 		c.HijackSetNoResponse(true)
@@ -216,8 +304,3 @@
 	c.SetContentType("application/json")
 	c.SetBody(body)
 }
-
-func version(b []byte) (platform.Version, bool) {
-	v, err := strconv.ParseUint(string(b), 10, 64)
-	return platform.Version(v), err == nil
-}
