--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -156,6 +156,8 @@
 		if r.Load.Latency > 0 {
 			e.latency[r.Kind] = r.Load.Latency
 		}
+	} else {
+		e.sent = max(e.sent-1, 0)
 	}
 	switch {
 	case r.Verdict == contract.NotRun:
--- /dev/null
+++ b/internal/platform/standin/protocol_test.go
@@ -0,0 +1,160 @@
+package standin_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	store "heathershed/internal/platform"
+	"heathershed/internal/platform/fake"
+	"heathershed/internal/platform/standin"
+	"heathershed/platform"
+)
+
+const kind = "heathershed-nodes"
+
+// open serves a stand-in and returns a client of it.
+func open(t *testing.T) (*platform.Objects, *fake.Store) {
+	t.Helper()
+	f := fake.New()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := standin.New(f)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
+	return platform.NewObjects(l.Addr().String()), f
+}
+
+func put(t *testing.T, c *platform.Objects, name string, revision uint64, spec string) platform.Object {
+	t.Helper()
+	o, err := c.Put(t.Context(), kind, platform.Object{Name: name, Revision: revision, Spec: []byte(spec)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return o
+}
+
+func TestObjectsOfOneKind(t *testing.T) {
+	c, _ := open(t)
+	one := put(t, c, "a/b ?", 0, `{"n":1}`)
+	two := put(t, c, "a/b ?", one.Revision, `{"n":2}`)
+	if two.Revision <= one.Revision {
+		t.Fatalf("revisions %d and %d", one.Revision, two.Revision)
+	}
+	for name, err := range map[string]error{
+		"create again": second(c.Put(t.Context(), kind, platform.Object{Name: "a/b ?", Spec: []byte("1")})),
+		"old revision": second(c.Put(t.Context(), kind, platform.Object{Name: "a/b ?", Revision: one.Revision, Spec: []byte("1")})),
+		"delete old":   c.Delete(t.Context(), kind, "a/b ?", one.Revision),
+	} {
+		if !errors.Is(err, store.ErrConflict) {
+			t.Errorf("%s: %v, want a conflict", name, err)
+		}
+	}
+	got, err := c.Get(t.Context(), kind, "a/b ?")
+	if err != nil || string(got.Spec) != `{"n":2}` || got.Revision != two.Revision {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	if err := c.Delete(t.Context(), kind, "a/b ?", two.Revision); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Get(t.Context(), kind, "a/b ?"); !errors.Is(err, store.ErrNotFound) {
+		t.Fatalf("after the delete: %v", err)
+	}
+}
+
+func second[T any](_ T, err error) error { return err }
+
+func TestListGoesOnOverItsPages(t *testing.T) {
+	c, _ := open(t)
+	const objects = 1201
+	for i := range objects {
+		put(t, c, fmt.Sprintf("n-%04d", i), 0, "{}")
+	}
+	all, _, err := c.List(t.Context(), kind, true)
+	if err != nil || len(all) != objects {
+		t.Fatalf("%d objects, %v; want %d", len(all), err, objects)
+	}
+}
+
+func TestWatchTellsOfChangesOfItsKindAlone(t *testing.T) {
+	c, _ := open(t)
+	first := put(t, c, "a", 0, "{}")
+	_, at, err := c.List(t.Context(), kind, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if events, _, err := c.Watch(t.Context(), kind, at, 50*time.Millisecond); err != nil || len(events) != 0 {
+		t.Fatalf("without a change: %v, %v", events, err)
+	}
+	if _, err := c.Put(t.Context(), "other", platform.Object{Name: "x", Spec: []byte("{}")}); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Delete(t.Context(), kind, "a", first.Revision); err != nil {
+		t.Fatal(err)
+	}
+	events, _, err := c.Watch(t.Context(), kind, at, time.Second)
+	if err != nil || len(events) != 1 || !events[0].Gone || events[0].Object.Name != "a" {
+		t.Fatalf("%+v, %v; want the delete of a", events, err)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults fake.Faults
+		write  error
+		read   error
+		exists bool // after the write
+	}{
+		{"none", fake.Faults{}, nil, nil, true},
+		{"down", fake.Faults{Down: true}, store.ErrUnknown, store.ErrUnavailable, false},
+		{"answer of the write lost", fake.Faults{LostAnswer: 1}, store.ErrUnknown, nil, true},
+		{"write dropped", fake.Faults{DroppedWrite: 1}, store.ErrUnknown, nil, false},
+		{"slower than the call may take", fake.Faults{Latency: 3 * time.Second}, store.ErrUnknown, store.ErrUnavailable, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c, f := open(t)
+			f.SetFaults(tc.faults)
+			_, err := c.Put(t.Context(), kind, platform.Object{Name: "a", Spec: []byte("{}")})
+			if !errors.Is(err, tc.write) || (err == nil) != (tc.write == nil) {
+				t.Fatalf("write: %v, want %v", err, tc.write)
+			}
+			_, _, err = c.List(t.Context(), kind, false)
+			if !errors.Is(err, tc.read) || (err == nil) != (tc.read == nil) {
+				t.Fatalf("read: %v, want %v", err, tc.read)
+			}
+			time.Sleep(2 * tc.faults.Latency) // a late write
+			f.SetFaults(fake.Faults{})
+			_, err = c.Get(t.Context(), kind, "a")
+			if (err == nil) != tc.exists {
+				t.Fatalf("afterwards: %v, want it there: %v", err, tc.exists)
+			}
+		})
+	}
+}
+
+func TestForgottenHistoryIsTold(t *testing.T) {
+	c, f := open(t)
+	first := put(t, c, "a", 0, "{}")
+	put(t, c, "a", first.Revision, `{"n":2}`)
+	f.Compact()
+	if _, _, err := c.Watch(t.Context(), kind, first.Revision, time.Second); !errors.Is(err, store.ErrCompacted) {
+		t.Fatalf("watch from before: %v, want that the history is gone", err)
+	}
+}
+
+func TestNothingListensIsDecided(t *testing.T) {
+	c := platform.NewObjects("127.0.0.1:1")
+	_, err := c.Put(t.Context(), kind, platform.Object{Name: "a", Spec: []byte("{}")})
+	if !errors.Is(err, store.ErrUnavailable) || !store.IsDecided(err) {
+		t.Fatalf("%v, want a write that was never sent", err)
+	}
+}
--- /dev/null
+++ b/internal/routes/routes_test.go
@@ -0,0 +1,71 @@
+package routes
+
+import (
+	"strings"
+	"testing"
+)
+
+func route(name, host, prefix string) Route {
+	return Route{Name: name, Host: host, Prefix: prefix, Parts: []Part{{Service: "s", Weight: 1}}, Attempts: 1}
+}
+
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	table, err := New(3, []Route{
+		route("short", "a.example", "/x/"),
+		route("long", "A.example", "/x/y/"),
+		route("other", "b.example", "/x/"),
+	}, nil, Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"A.EXAMPLE:80", "/x/y/", "long"},
+		{"b.example", "/x/y/1", "other"},
+		{"a.example", "/x", ""},
+		{"c.example", "/x/1", ""},
+		{"", "/", ""},
+	}
+	for _, c := range cases {
+		r, ok := table.Match(c.host, c.path)
+		if ok != (c.want != "") || ok && r.Name != c.want {
+			t.Errorf("%s%s: %+v, want %q", c.host, c.path, r, c.want)
+		}
+	}
+}
+
+func TestWrongRoutesAreNamed(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*Route)
+		want   string
+	}{
+		{"no prefix", func(r *Route) { r.Prefix = "x/" }, "prefix"},
+		{"no service", func(r *Route) { r.Parts = nil }, "weight"},
+		{"no weight", func(r *Route) { r.Parts[0].Weight = 0 }, "weight"},
+		{"negative weight", func(r *Route) { r.Parts[0].Weight = -1 }, "weight"},
+		{"no attempts", func(r *Route) { r.Attempts = 0 }, "attempts"},
+		{"negative time", func(r *Route) { r.Timeout = -1 }, "time"},
+	}
+	for _, c := range cases {
+		r := route("r-1", "a.example", "/x/")
+		c.change(&r)
+		_, err := New(1, []Route{r}, nil, Limits{})
+		if err == nil || !strings.Contains(err.Error(), c.want) || !strings.Contains(err.Error(), "r-1") {
+			t.Errorf("%s: error %v, want one that names r-1 and %q", c.name, err, c.want)
+		}
+	}
+}
+
+func TestSplitKeepsTheWeightsOverShortTimes(t *testing.T) {
+	r := &Route{Name: "r", Parts: []Part{{"a", 90}, {"b", 10}, {"c", 0}}}
+	var s Splitter
+	count := make(map[string]int)
+	for range 20 {
+		count[s.Next(r)]++
+	}
+	if count["a"] != 18 || count["b"] != 2 || count["c"] != 0 {
+		t.Fatalf("shares of 20 requests: %v, want 18, 2 and 0", count)
+	}
+}
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -192,10 +192,14 @@
 	case contract.ReasonUnknownKind, contract.ReasonBadRequest, contract.ReasonTooLarge:
 		return contract.Status(v, r)
 	}
-	if v == contract.NotRun {
+	switch {
+	case v == contract.NotRun:
 		return fasthttp.StatusServiceUnavailable
+	case r == contract.ReasonDeadline, r == contract.ReasonCancelled:
+		return fasthttp.StatusGatewayTimeout
+	default:
+		return fasthttp.StatusBadGateway
 	}
-	return contract.Status(v, r)
 }
 
 // comeBack is when a request that has not run may come again: when room is
--- /dev/null
+++ b/internal/sidecar/parts_test.go
@@ -0,0 +1,108 @@
+package sidecar
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"heathershed/internal/contract"
+)
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func TestOrderIsHandedOverOnce(t *testing.T) {
+	h := newHanded()
+	if !h.take("a") || h.take("a") {
+		t.Fatal("an id was taken twice, or not at all")
+	}
+	h.give("a")
+	if !h.take("a") {
+		t.Fatal("an id that did not run can't be taken again")
+	}
+	for i := range maxHanded {
+		h.take(fmt.Sprint(i))
+	}
+	if h.take("a") {
+		t.Fatal("an id was forgotten within a generation")
+	}
+	if len(h.now)+len(h.old) > 2*maxHanded {
+		t.Fatal("the table grows beyond its bound")
+	}
+}
+
+// TestRepeatsOfAllNodesKeepTheBound plays nodes that repeat as often as they
+// may, and counts in each sliding window.
+func TestRepeatsOfAllNodesKeepTheBound(t *testing.T) {
+	const (
+		nodes  = 17
+		ratio  = 0.2
+		slack  = 57
+		window = 10 * time.Second
+		step   = 50 * time.Millisecond
+	)
+	all := make([]*budget, nodes)
+	for i := range all {
+		all[i] = newBudget(ratio, slack, window)
+		all[i].setNodes(nodes)
+	}
+	now := time.Unix(1000, 0)
+	var repeats, requests []int
+	for range int(4 * window / step) {
+		now = now.Add(step)
+		r := 0
+		for _, b := range all {
+			b.request(now, false)
+			for b.repeat(now, true) {
+				r++
+			}
+		}
+		repeats, requests = append(repeats, r), append(requests, nodes)
+	}
+	span := int(window / step)
+	for i := span; i <= len(repeats); i++ {
+		r, q := sum(repeats[i-span:i]), sum(requests[i-span:i])
+		if float64(r) > ratio*float64(q)+slack {
+			t.Fatalf("%d repeats of %d requests in a window, want at most %.0f", r, q, ratio*float64(q)+slack)
+		}
+	}
+}
+
+func sum(list []int) int {
+	total := 0
+	for _, n := range list {
+		total += n
+	}
+	return total
+}
+
+func TestStatusOfOwnAnswers(t *testing.T) {
+	cases := []struct {
+		verdict contract.Verdict
+		reason  contract.Reason
+		want    int
+	}{
+		{contract.NotRun, contract.ReasonOverload, 503},
+		{contract.NotRun, contract.ReasonDeadline, 503},
+		{contract.NotRun, contract.ReasonLeaving, 503},
+		{contract.NotRun, contract.ReasonUnknownKind, 404},
+		{contract.NotRun, contract.ReasonTooLarge, 413},
+		{contract.MayHaveRun, contract.ReasonDeadline, 504},
+		{contract.MayHaveRun, contract.ReasonLinkLost, 502},
+		{contract.MayHaveRun, contract.ReasonPartialAnswer, 502},
+		{contract.MayHaveRun, contract.ReasonOrderRunning, 502},
+	}
+	for _, c := range cases {
+		if got := statusOf(c.verdict, c.reason); got != c.want {
+			t.Errorf("%v %v: %d, want %d", c.verdict, c.reason, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sidecar/sidecar_test.go
@@ -0,0 +1,227 @@
+package sidecar
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"heathershed/internal/platform/fake"
+)
+
+// pair starts two nodes of services "near" and "far" that know each other.
+func pair(t *testing.T) (w *world, near, far *vm) {
+	t.Helper()
+	w = newWorld(t)
+	w.configure(1, "near", "far")
+	near, far = w.start("near"), w.start("far")
+	w.until("both ready", func() bool { return near.ready() && far.ready() })
+	near.beat("near", "ready")
+	far.beat("far", "ready")
+	near.serves("/near/1")
+	near.serves("/far/1")
+	far.serves("/near/1")
+	return w, near, far
+}
+
+func TestRequestIsServedWholeOverTheLink(t *testing.T) {
+	t.Parallel()
+	_, near, far := pair(t)
+	var path, caller, instance string
+	far.up.set(func(rw http.ResponseWriter, r *http.Request) {
+		path, caller, instance = r.RequestURI, r.Header.Get("Heathershed-Caller-Service"), r.Header.Get("Heathershed-Expected-Instance")
+		_, _ = io.WriteString(rw, strings.Repeat("x", 300_000))
+	})
+	a := near.ask("GET", "/far//a%2Fb/?q=1&q=2", nil)
+	if a.status != http.StatusOK || len(a.body) != 300_000 || a.seal != "seal-"+far.up.id {
+		t.Fatalf("status %d, %d bytes, seal %q, %v", a.status, len(a.body), a.seal, a.err)
+	}
+	if path != "/far//a%2Fb/?q=1&q=2" || caller != "near" || instance != far.up.id {
+		t.Fatalf("upstream saw %q from %q for %q", path, caller, instance)
+	}
+}
+
+func TestOwnAnswers(t *testing.T) {
+	t.Parallel()
+	_, near, _ := pair(t)
+	cases := []struct {
+		name, method, path string
+		body               int
+		status             int
+	}{
+		{"no such route", "GET", "/nowhere/", 0, http.StatusNotFound},
+		{"body over the limit", "POST", "/near/", 1001, http.StatusRequestEntityTooLarge},
+		{"body at the limit", "POST", "/near/", 1000, http.StatusOK},
+	}
+	for _, c := range cases {
+		before := near.up.ran.Load()
+		a := near.ask(c.method, c.path, make([]byte, c.body))
+		ran := near.up.ran.Load() > before
+		if a.status != c.status || ran != (c.status == http.StatusOK) {
+			t.Errorf("%s: status %d, ran %v, want %d", c.name, a.status, ran, c.status)
+		}
+	}
+}
+
+func TestOrderThatMayHaveRunIsNotSentAgain(t *testing.T) {
+	t.Parallel()
+	_, near, far := pair(t)
+	before := far.up.ran.Load()
+	far.up.set(func(rw http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) })
+	a := near.ask("POST", "/far-order/1", []byte("order"))
+	if a.status != http.StatusBadGateway || a.again != "" {
+		t.Fatalf("status %d with Retry-After %q, want 502 without a promise", a.status, a.again)
+	}
+	if ran := far.up.ran.Load() - before; ran != 1 {
+		t.Fatalf("the order ran %d times", ran)
+	}
+}
+
+func TestFailureThatWouldPromiseNotRunIsNotPassedOnForAnOrder(t *testing.T) {
+	t.Parallel()
+	_, near, far := pair(t)
+	far.up.set(func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusServiceUnavailable) })
+	if a := near.ask("POST", "/far-order/1", nil); a.status != http.StatusBadGateway || a.seal != "" {
+		t.Fatalf("order: status %d, seal %q; want 502 without the upstream's seal", a.status, a.seal)
+	}
+	if a := near.ask("GET", "/far/1", nil); a.status != http.StatusServiceUnavailable || a.seal == "" {
+		t.Fatalf("lookup: status %d, seal %q; want the upstream's own answer", a.status, a.seal)
+	}
+}
+
+func TestRefusedOrderIsToldNotRunAndWhenToComeBack(t *testing.T) {
+	t.Parallel()
+	_, near, far := pair(t)
+	far.up.set(func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("Heathershed-Not-Executed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	})
+	if a := near.ask("POST", "/far-order/1", nil); a.status != http.StatusServiceUnavailable || a.again == "" || a.seal != "" {
+		t.Fatalf("status %d, Retry-After %q, seal %q", a.status, a.again, a.seal)
+	}
+}
+
+func TestDrainingUpstreamGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	w, near, far := pair(t)
+	far.beat("far", "draining")
+	ran := far.up.ran.Load()
+	for range 5 {
+		if a := near.ask("GET", "/far/1", nil); a.status != http.StatusServiceUnavailable {
+			t.Fatalf("status %d after the acknowledgement", a.status)
+		}
+	}
+	if far.up.ran.Load() != ran {
+		t.Fatal("a draining upstream got work after the acknowledgement")
+	}
+	far.beat("far", "ready")
+	w.until("served again", func() bool { return near.ask("GET", "/far/1", nil).status == http.StatusOK })
+}
+
+func TestAddressTakenOverByAnotherStart(t *testing.T) {
+	t.Parallel()
+	w, near, far := pair(t)
+	ran := far.up.ran.Load()
+	far.up.id = "i-new" // the upstream was replaced; its heartbeat is late
+	if a := near.ask("POST", "/far-order/1", nil); a.status != http.StatusServiceUnavailable {
+		t.Fatalf("status %d, want not run", a.status)
+	}
+	if far.up.ran.Load() != ran {
+		t.Fatal("a request ran at another start than it was meant for")
+	}
+	far.beat("near", "ready") // it runs another service now
+	w.until("the new service is served there", func() bool {
+		near.ask("GET", "/near/1", nil)
+		return far.up.ran.Load() > ran
+	})
+	if a := near.ask("GET", "/far/1", nil); a.status != http.StatusServiceUnavailable {
+		t.Fatalf("status %d for the service that has no upstream left", a.status)
+	}
+}
+
+func TestLeavingClientEndsItsLookup(t *testing.T) {
+	t.Parallel()
+	w, near, far := pair(t)
+	began, ended := make(chan struct{}), make(chan struct{})
+	far.up.set(func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+		close(ended)
+	})
+	conn := dial(t, near.cfg.Clients)
+	_, _ = io.WriteString(conn, "GET /far/1 HTTP/1.1\r\nHost: h\r\nHeathershed-Attempt-Id: leaving\r\n\r\n")
+	<-began
+	closed := time.Now()
+	_ = conn.Close()
+	w.until("the upstream's request ends", func() bool {
+		select {
+		case <-ended:
+			return true
+		default:
+			return false
+		}
+	})
+	if took := time.Since(closed); took > 500*time.Millisecond {
+		t.Fatalf("the upstream worked on for %v", took)
+	}
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	t.Parallel()
+	w, near, far := pair(t)
+	release := make(chan struct{})
+	far.up.set(func(rw http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = io.WriteString(rw, "whole answer")
+	})
+	got := make(chan answer, 1)
+	began := far.up.ran.Load()
+	go func() { got <- near.ask("POST", "/far-order/1", nil) }()
+	w.until("the order runs", func() bool { return far.up.ran.Load() > began })
+	near.stop()
+	far.stop()
+	w.until("not ready", func() bool { return !near.ready() && !far.ready() })
+	time.Sleep(200 * time.Millisecond)
+	close(release)
+	if a := <-got; a.status != http.StatusOK || a.body != "whole answer" {
+		t.Fatalf("the order in flight ended with %d %q, %v", a.status, a.body, a.err)
+	}
+}
+
+func TestRestartWhileTheStoreIsDown(t *testing.T) {
+	t.Parallel()
+	w, near, far := pair(t)
+	w.store.SetFaults(fake.Faults{Down: true})
+	near.halt()
+	near.run()
+	w.until("ready with the configuration of another node", near.ready)
+	near.serves("/far/1")
+	near.beat("near", "ready")
+	far.serves("/near/1")
+}
+
+func TestNewerConfigurationIsInForceSoonAndStays(t *testing.T) {
+	t.Parallel()
+	w, near, far := pair(t)
+	w.configure(5, "near", "far", "added")
+	added := func(m *vm) int { return m.ask("GET", "/added/1", nil).status }
+	for _, m := range []*vm{near, far} {
+		w.until("the new route is known", func() bool { return added(m) == http.StatusServiceUnavailable })
+	}
+	w.configure(4, "near", "far") // an older one, late
+	time.Sleep(300 * time.Millisecond)
+	if got := added(near); got != http.StatusServiceUnavailable {
+		t.Fatalf("status %d: the older configuration came into force", got)
+	}
+}
+
+func TestWithoutAConfigurationNothingIsDenied(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	m := w.start("near")
+	w.until("it answers", func() bool { return m.ask("GET", "/near/1", nil).err == nil })
+	if a := m.ask("GET", "/near/1", nil); a.status != http.StatusServiceUnavailable || a.again == "" || m.ready() {
+		t.Fatalf("status %d, Retry-After %q, ready %v", a.status, a.again, m.ready())
+	}
+}
--- /dev/null
+++ b/internal/sidecar/world_test.go
@@ -0,0 +1,222 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"heathershed/internal/platform/fake"
+	"heathershed/internal/platform/standin"
+	"heathershed/internal/settings"
+	"heathershed/platform"
+)
+
+// patience bounds every wait for something that must happen.
+const patience = 10 * time.Second
+
+// world is a stand-in of the object API with nodes and upstreams on loopback.
+type world struct {
+	t       *testing.T
+	store   *fake.Store
+	address string
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{t: t, store: fake.New()}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := standin.New(w.store)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
+	w.address = l.Addr().String()
+	return w
+}
+
+// configure writes a configuration in which each service has a route /NAME/ of
+// lookups and a route /NAME-order/ of orders.
+func (w *world) configure(version int, services ...string) {
+	w.t.Helper()
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `{"version":%d,"resources":[`, version)
+	for _, s := range services {
+		for suffix, kind := range map[string]string{"": "idempotent", "-order": "non_idempotent"} {
+			fmt.Fprintf(&b, `{"resourceKind":"routes","metadata":{"name":"%s%s"},"spec":{"host":"h","pathPrefix":"/%s%s/","routeType":"%s","timeout":"3s","sloLatency":"2s","priority":0,"service":"%s","maxAttempts":2}},`,
+				s, suffix, s, suffix, kind, s)
+		}
+	}
+	b.WriteString(`{"resourceKind":"limits","metadata":{},"spec":{"maxBodyBytes":1000}}]}`)
+	objects := platform.NewObjects(w.address)
+	old, err := objects.Get(w.t.Context(), platform.ConfigKind, platform.ConfigName)
+	if err != nil {
+		old = platform.Object{Name: platform.ConfigName}
+	}
+	if _, err := objects.Put(w.t.Context(), platform.ConfigKind, platform.Object{Name: old.Name, Revision: old.Revision, Spec: b.Bytes()}); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// backEnd is an upstream under test.
+type backEnd struct {
+	id, address string
+	ran         atomic.Int64
+	mu          sync.Mutex
+	handle      http.HandlerFunc
+}
+
+func (u *backEnd) set(h http.HandlerFunc) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.handle = h
+}
+
+// ServeHTTP checks that it is meant, as the platform's upstreams do.
+func (u *backEnd) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Heathershed-Expected-Instance") != u.id {
+		rw.Header().Set("Heathershed-Instance-Id", u.id)
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	u.ran.Add(1)
+	u.mu.Lock()
+	handle := u.handle
+	u.mu.Unlock()
+	rw.Header().Set("Heathershed-Attempt-Id", r.Header.Get("Heathershed-Attempt-Id"))
+	rw.Header().Set("Heathershed-Response-Seal", "seal-"+u.id)
+	handle(rw, r)
+}
+
+// vm is a node with the upstream beside it.
+type vm struct {
+	w    *world
+	up   *backEnd
+	cfg  *settings.Sidecar
+	stop context.CancelFunc
+	done chan error
+	seq  int
+}
+
+var vmNumber atomic.Int32
+
+// start starts an upstream and a node beside it, on a loopback address of
+// their own.
+func (w *world) start(service string) *vm {
+	w.t.Helper()
+	number := vmNumber.Add(1)
+	ip := fmt.Sprintf("127.0.%d.%d", 40+number/200, 1+number%200)
+	up := &backEnd{id: fmt.Sprint("i-", number), address: ip + ":8080"}
+	up.set(func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "whole answer") })
+	l, err := net.Listen("tcp", up.address)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	server := &http.Server{Handler: up}
+	go func() { _ = server.Serve(l) }()
+	w.t.Cleanup(func() { _ = server.Close() })
+	m := &vm{w: w, up: up, cfg: &settings.Sidecar{
+		VM: fmt.Sprint("vm-", number), Datacentre: "west", Region: "r", Service: service,
+		Clients: ip + ":7001", Link: ip + ":7002", Ready: ip + ":7003", Heartbeats: ip + ":7004", Metrics: ip + ":7005",
+		Upstream: up.address, Platform: w.address,
+		Grace: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Memory: 64 << 20,
+	}}
+	m.run()
+	w.t.Cleanup(m.halt)
+	return m
+}
+
+func (m *vm) run() {
+	ctx, stop := context.WithCancel(context.Background())
+	m.stop, m.done = stop, make(chan error, 1)
+	n := New(m.cfg, slog.New(slog.NewJSONHandler(io.Discard, nil)))
+	done := m.done
+	go func() { done <- n.Run(ctx) }()
+}
+
+// halt stops the node in order and waits for its end.
+func (m *vm) halt() {
+	m.stop()
+	select {
+	case err := <-m.done:
+		m.done <- err
+	case <-time.After(patience):
+		m.w.t.Error("node did not stop")
+	}
+}
+
+// beat sends a heartbeat of the upstream.
+func (m *vm) beat(service, state string) {
+	m.w.t.Helper()
+	m.seq++
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"west","version":"v1","capacity":4,"state":%q,"warmupLeft":"0ms","seq":%d}`,
+		service, m.up.address, state, m.seq)
+	resp, err := http.Post("http://"+m.cfg.Heartbeats+"/v1/Instances.Heartbeat/"+m.up.id, "application/json", bytes.NewBufferString(body))
+	if err != nil {
+		m.w.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		m.w.t.Fatalf("heartbeat: %d", resp.StatusCode)
+	}
+}
+
+func (m *vm) ready() bool {
+	resp, err := http.Get("http://" + m.cfg.Ready + platform.PathReady)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// answer is what a client got.
+type answer struct {
+	status            int
+	body, seal, again string
+	err               error
+}
+
+var attemptNumber atomic.Int64
+
+// ask sends a request as a client does.
+func (m *vm) ask(method, path string, body []byte) answer {
+	req, err := http.NewRequestWithContext(m.w.t.Context(), method, "http://"+m.cfg.Clients+path, bytes.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Host = "h"
+	req.Header.Set("Heathershed-Attempt-Id", fmt.Sprint("a-", attemptNumber.Add(1)))
+	req.Header.Set("Heathershed-Deadline-Remaining-Ms", "2500")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, string(text), resp.Header.Get("Heathershed-Response-Seal"), resp.Header.Get("Retry-After"), err}
+}
+
+// until waits for a condition.
+func (w *world) until(what string, ok func() bool) {
+	w.t.Helper()
+	for deadline := time.Now().Add(patience); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			w.t.Fatal("in vain: ", what)
+		}
+	}
+}
+
+// serves waits until a request on the path is answered 200.
+func (m *vm) serves(path string) {
+	m.w.t.Helper()
+	m.w.until(m.cfg.VM+" serves "+path, func() bool { return m.ask("GET", path, nil).status == http.StatusOK })
+}
