What is known of a node and of the own upstream changes in order; smaller buffers

Cause: TestNewerConfigurationIsInForceSoonAndStays failed once (vm-3 never served /far/1): frames of one node come in on two links at once, and the older one could reach the fleet last, which then took a ready upstream for a leaving one until its next change. The same order was missing between the door and the messages about the own upstream, and between those and a stop. Test: TestConcurrentFramesOfOneNodeLeaveTheNewest fails before, passes after.

--- a/cmd/heathershed-sidecar/main.go
+++ b/cmd/heathershed-sidecar/main.go
@@ -30,6 +30,10 @@
 // collector works harder; the rest is for stacks, buffers and the kernel.
 const heapPart = 0.5
 
+// gcPercent is the growth of the heap between two collections: memory is dear
+// beside processor time.
+const gcPercent = 50
+
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -69,6 +73,7 @@
 }
 
 func serve(cfg *settings.Sidecar, path string) int {
+	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(cfg.Memory) * heapPart))
 	var level slog.LevelVar
 	setLevel(&level, cfg)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -62,6 +62,7 @@
 		IdleTimeout:                  o.IdleTimeout,
 		ReadBufferSize:               o.HeaderBytes,
 		NoDefaultServerHeader:        true,
+		ReduceMemoryUsage:            true,
 		NoDefaultDate:                true,
 		DisablePreParseMultipartForm: true,
 		CloseOnShutdown:              true,
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -28,6 +28,9 @@
 	// windowSize is the flow-control window of a stream and a connection, in
 	// bytes: several answers of usual size without a wait.
 	windowSize = 1 << 20
+	// bufferSize is that of a connection's buffers, in bytes: a few messages of
+	// usual size; each node holds two connections to every other.
+	bufferSize = 8 << 10
 )
 
 // Handler is the node behind a link. Its methods are called concurrently and
@@ -71,6 +74,9 @@
 		grpc.MaxSendMsgSize(MaxMessage),
 		grpc.InitialWindowSize(windowSize),
 		grpc.InitialConnWindowSize(windowSize),
+		grpc.ReadBufferSize(bufferSize),
+		grpc.WriteBufferSize(bufferSize),
+		grpc.SharedWriteBuffer(true),
 	)
 	linkpb.RegisterLinkServer(s.grpc, s)
 	return s
--- a/internal/link/set.go
+++ b/internal/link/set.go
@@ -235,6 +235,9 @@
 		grpc.WithStatsHandler(sentObserver{}),
 		grpc.WithInitialWindowSize(windowSize),
 		grpc.WithInitialConnWindowSize(windowSize),
+		grpc.WithReadBufferSize(bufferSize),
+		grpc.WithWriteBufferSize(bufferSize),
+		grpc.WithSharedWriteBuffer(true),
 		grpc.WithDefaultCallOptions(
 			grpc.MaxCallRecvMsgSize(MaxMessage),
 			grpc.MaxCallSendMsgSize(MaxMessage),
--- a/internal/sidecar/parts_test.go
+++ b/internal/sidecar/parts_test.go
@@ -1,12 +1,21 @@
 package sidecar
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
+	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
+	"heathershed/internal/fleet"
+	"heathershed/internal/link"
+	"heathershed/internal/settings"
 )
 
 func dial(t *testing.T, address string) net.Conn {
@@ -106,3 +115,29 @@
 		}
 	}
 }
+
+// TestConcurrentFramesOfOneNodeLeaveTheNewest lets two links tell of one node at
+// once: what the fleet believes is what the newest frame says.
+func TestConcurrentFramesOfOneNodeLeaveTheNewest(t *testing.T) {
+	for range 200 {
+		n := New(&settings.Sidecar{VM: "own", Datacentre: "west", Upstream: "127.0.0.1:1", Platform: "127.0.0.1:1"}, slog.New(slog.DiscardHandler))
+		n.links = link.NewSet(t.Context(), &errgroup.Group{}, n, &n.traffic, func(context.Context, string) (net.Conn, error) {
+			return nil, net.ErrClosed
+		})
+		var all sync.WaitGroup
+		for sequence := range uint64(8) {
+			all.Go(func() {
+				m := &linkpb.Member{Vm: "other", Address: "127.0.0.1:2", Service: "s", Incarnation: 1, Sequence: sequence + 1, State: linkpb.MemberState_MEMBER_STATE_LEAVING}
+				if sequence == 7 {
+					m.State = linkpb.MemberState_MEMBER_STATE_UP
+				}
+				n.peers.learn(m)
+			})
+		}
+		all.Wait()
+		n.fleet.Linked("other", true)
+		if _, ok := n.fleet.Pick(time.Now(), fleet.Query{Service: "s"}); !ok {
+			t.Fatal("the newest frame says that it takes work, the fleet does not")
+		}
+	}
+}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -34,14 +34,29 @@
 	if m.Vm == p.n.cfg.VM || m.Vm == "" || m.Address == "" {
 		return
 	}
+	old, took := p.take(m)
+	if !took {
+		return
+	}
+	if old == nil || old.Incarnation != m.Incarnation || old.State != m.State || old.Instance != m.Instance {
+		p.n.log.Info("node", "vm", m.Vm, "service", m.Service, "instance", m.Instance,
+			"incarnation", m.Incarnation, "sequence", m.Sequence, "state", m.State.String())
+	}
+	if old == nil || old.Address != m.Address {
+		p.want()
+	}
+}
+
+// take replaces what was known of a node by something newer. The fleet hears of
+// it under the same lock: frames of one node arrive on two links at once.
+func (p *peers) take(m *linkpb.Member) (old *linkpb.Member, took bool) {
 	p.mu.Lock()
-	old := p.members[m.Vm]
+	defer p.mu.Unlock()
+	old = p.members[m.Vm]
 	if old != nil && !newer(m, old) {
-		p.mu.Unlock()
-		return
+		return old, false
 	}
 	p.members[m.Vm] = m
-	p.mu.Unlock()
 	p.n.fleet.Put(fleet.Upstream{
 		VM:         m.Vm,
 		Service:    m.Service,
@@ -50,13 +65,7 @@
 		Slots:      int(m.Slots),
 		Ready:      m.Incarnation > 0 && m.State == linkpb.MemberState_MEMBER_STATE_UP,
 	})
-	if old == nil || old.Incarnation != m.Incarnation || old.State != m.State || old.Instance != m.Instance {
-		p.n.log.Info("node", "vm", m.Vm, "service", m.Service, "instance", m.Instance,
-			"incarnation", m.Incarnation, "sequence", m.Sequence, "state", m.State.String())
-	}
-	if old == nil || old.Address != m.Address {
-		p.want()
-	}
+	return old, true
 }
 
 func newer(m, old *linkpb.Member) bool {
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"heathershed/internal/contract"
 )
 
 const (
@@ -28,24 +26,13 @@
 		return running.Err()
 	}
 	n.log.Info("stop", "grace_ms", n.cfg.Grace.Milliseconds(), "in_flight", n.inFlight.Load())
-	n.stopping.Store(true)
+	n.target.stop()
 	n.front.Leave()
-	n.gate.Close(contract.ReasonLeaving)
-	n.putOwn()
-	n.target.touch()
-	n.tellAll()
 	n.awaitQuiet(running)
 	n.close()
 	return nil
 }
 
-// touch makes the own record one that the other nodes must hear of.
-func (t *target) touch() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.sequence++
-}
-
 // awaitQuiet waits until clients have had notice and nothing is in flight.
 func (n *Node) awaitQuiet(ctx context.Context) {
 	began := time.Now()
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -14,7 +14,10 @@
 type target struct {
 	n *Node
 
-	mu   sync.Mutex
+	// order makes what follows from changes happen in their order; it is taken
+	// before mu.
+	order sync.Mutex
+	mu    sync.Mutex
 	book *instance.Book
 	// sequence grows with each change that other nodes must hear of.
 	sequence uint64
@@ -41,6 +44,8 @@
 
 // change applies a message to the book and acts on what it did.
 func (t *target) change(what string, apply func(*instance.Book) instance.Change) {
+	t.order.Lock()
+	defer t.order.Unlock()
 	t.mu.Lock()
 	did := apply(t.book)
 	state := t.book.State()
@@ -74,6 +79,19 @@
 	t.n.wakeRecord()
 }
 
+// stop closes the door for good and tells the other nodes.
+func (t *target) stop() {
+	t.order.Lock()
+	defer t.order.Unlock()
+	t.n.stopping.Store(true)
+	t.n.gate.Close(contract.ReasonLeaving)
+	t.mu.Lock()
+	t.sequence++
+	t.mu.Unlock()
+	t.n.putOwn()
+	t.n.tellAll()
+}
+
 // putOwn takes the own upstream into the fleet.
 func (n *Node) putOwn() {
 	state := n.target.state()
