Structured logs that never block, metrics, and the store told when lost and regained

Cause: on-call engineers have only logs and metrics, and a reader of standard output that is stuck would have held up the node. Change: internal/eventlog queues lines in a bounded ring and gives each message a rate; what is left out is counted and told. A line for each failed request, shed, repeat and failed run with its inputs; one of 64 that end well, the same ones at each node. Metrics as text on the metrics address.

--- a/cmd/heathershed-sidecar/main.go
+++ b/cmd/heathershed-sidecar/main.go
@@ -14,7 +14,9 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
+	"heathershed/internal/eventlog"
 	"heathershed/internal/settings"
 	"heathershed/internal/sidecar"
 	"heathershed/internal/version"
@@ -77,7 +79,11 @@
 	debug.SetMemoryLimit(int64(float64(cfg.Memory) * heapPart))
 	var level slog.LevelVar
 	setLevel(&level, cfg)
-	log := slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: &level}))
+	lines := eventlog.NewWriter(os.Stdout)
+	log := slog.New(eventlog.NewLimiter(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: &level})))
+	logged, endLog := writeLog(lines)
+	defer logged()
+	defer endLog()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go reload(ctx, path, log, &level)
@@ -88,6 +94,28 @@
 	return exitOK
 }
 
+// lastLines bounds the wait for the last lines of the log.
+const lastLines = 200 * time.Millisecond
+
+// writeLog starts the duty that writes the log. The first function waits a
+// little for its last lines, the second one ends it.
+func writeLog(lines *eventlog.Writer) (wait, end func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := lines.Run(ctx); err != nil {
+			fmt.Fprintln(os.Stderr, "log:", err)
+		}
+	}()
+	return func() {
+		select {
+		case <-done:
+		case <-time.After(lastLines):
+		}
+	}, cancel
+}
+
 func setLevel(level *slog.LevelVar, cfg *settings.Sidecar) {
 	var l slog.Level
 	if err := l.UnmarshalText([]byte(cfg.LogLevel)); err == nil {
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -37,8 +37,9 @@
 	service string
 	// inner: the own upstream asks, not a client.
 	inner bool
-	// parent is the route of the request that an inner call belongs to.
-	parent string
+	// parent and parentID are the route and the attempt of the request that an
+	// inner call belongs to; empty where that can't be told.
+	parent, parentID string
 	// level is that of the root request.
 	level    contract.Level
 	deadline time.Time
@@ -63,13 +64,16 @@
 		cancel()
 	}
 	n.answer(rc, c, reply)
-	n.logEnd(c, reply, time.Since(began))
+	took := time.Since(began)
+	n.metrics.ended(reply, took)
+	n.logEnd(c, reply, took)
 }
 
 // seeThrough sends a call, unless what it will meet on its way sheds it.
 func (n *Node) seeThrough(ctx context.Context, c *call) *linkpb.CallReply {
 	threshold := n.pressure.Threshold(time.Now(), c.service, c.route.Name)
 	if !c.inner && c.level < threshold {
+		n.logShed(c, threshold)
 		return refuse(contract.ReasonOverload, "shed at the front")
 	}
 	return n.send(ctx, c)
@@ -104,7 +108,7 @@
 	c.route = route
 	c.service = n.split.Next(route)
 	origin := n.lineage.Find(now, route.Name, in.Remaining)
-	c.inner, c.parent, c.level = origin.Inner, origin.Parent.Kind, origin.Parent.Level
+	c.inner, c.parent, c.parentID, c.level = origin.Inner, origin.Parent.Kind, origin.Parent.ID, origin.Parent.Level
 	if !c.inner {
 		c.level = levelOf(route.Rank, c.attempt)
 	}
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -29,16 +29,20 @@
 	var at uint64
 	for ctx.Err() == nil {
 		var err error
+		began := time.Now()
 		if at == 0 {
 			at, err = n.readConfiguration(ctx)
 		} else {
 			at, err = n.watchConfiguration(ctx, at)
 		}
+		if watched := at != 0 && err == nil; watched {
+			began = time.Now() // a watch waits
+		}
+		n.called(callConfiguration, began, err)
 		if err == nil {
 			retry = minRetry
 			continue
 		}
-		n.log.Warn("store", "call", "configuration", "err", err, "retry_ms", retry.Milliseconds())
 		sleep(ctx, retry/2+rand.N(retry))
 		retry = min(2*retry, maxRetry)
 	}
--- a/internal/sidecar/logs.go
+++ b/internal/sidecar/logs.go
@@ -3,21 +3,66 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
 )
 
-// logEnd writes the line of a request that ended without an upstream's answer.
+// sampleOne is the number of requests that end well of which one is logged, by
+// its id: the same ones at every node.
+const sampleOne = 64
+
+func sampled(id string) bool { return xxhash.Sum64String(id)%sampleOne == 0 }
+
+// logEnd writes the line of a request's end: of each that failed, and of some
+// that went well.
 func (n *Node) logEnd(c *call, reply *linkpb.CallReply, took time.Duration) {
 	verdict := contract.Verdict(reply.Verdict)
-	if verdict == contract.Ran {
+	if verdict == contract.Ran && !sampled(c.attempt) {
 		return
 	}
+	message := "request failed"
+	if verdict == contract.Ran {
+		message = "request answered"
+	}
 	route := ""
 	if c.route != nil {
 		route = c.route.Name
 	}
-	n.log.Info("request failed", "id", c.attempt, "route", route, "service", c.service, "inner", c.inner,
-		"verdict", verdict.String(), "reason", contract.Reason(reply.Reason).String(),
-		"detail", reply.Detail, "vm", reply.Vm, "took_ms", took.Milliseconds())
+	n.log.Info(message, "id", c.attempt, "parent", c.parentID, "route", route, "service", c.service,
+		"inner", c.inner, "verdict", verdict.String(), "reason", contract.Reason(reply.Reason).String(),
+		"detail", reply.Detail, "status", reply.Status, "vm", reply.Vm, "took_ms", took.Milliseconds(),
+		"left_ms", time.Until(c.deadline).Milliseconds(), "come_back_ms", reply.RetryAfterMs)
+}
+
+// logShed writes why the front refused a client's request.
+func (n *Node) logShed(c *call, threshold contract.Level) {
+	n.log.Info("request shed", "id", c.attempt, "route", c.route.Name, "service", c.service,
+		"level", c.level, "threshold", threshold)
+}
+
+// logAgain writes that a request is sent once more, and why it may be.
+func (n *Node) logAgain(c *call, vm string, reply *linkpb.CallReply, arrived int) {
+	if arrived == 0 && !sampled(c.attempt) {
+		return // no upstream has seen it
+	}
+	n.log.Info("request sent again", "id", c.attempt, "route", c.route.Name, "after", vm,
+		"verdict", contract.Verdict(reply.Verdict).String(), "reason", contract.Reason(reply.Reason).String(),
+		"detail", reply.Detail, "idempotent", c.route.Idempotent, "arrived", arrived, "attempts", c.route.Attempts)
+}
+
+// logRun writes what the upstream did with a request that the door let in.
+func (n *Node) logRun(req *linkpb.CallRequest, reply *linkpb.CallReply, wait, service time.Duration) {
+	verdict := contract.Verdict(reply.Verdict)
+	if verdict == contract.Ran && !sampled(req.AttemptId) {
+		return
+	}
+	message := "run failed"
+	if verdict == contract.Ran {
+		message = "run ended"
+	}
+	n.log.Info(message, "id", req.AttemptId, "route", req.Kind, "from", req.FromVm, "instance", n.target.state().ID,
+		"verdict", verdict.String(), "reason", contract.Reason(reply.Reason).String(), "detail", reply.Detail,
+		"status", reply.Status, "wait_ms", wait.Milliseconds(), "service_ms", service.Milliseconds())
 }
--- /dev/null
+++ b/internal/sidecar/metrics.go
@@ -0,0 +1,144 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+
+	linkpb "heathershed/api/link"
+	"heathershed/internal/contract"
+)
+
+const (
+	// reportEvery is how often tally hands its values to the reporter.
+	reportEvery = 2 * time.Second
+	// smallestBucket and buckets give the histograms: 1 ms to 16 s by doubling.
+	smallestBucket = time.Millisecond
+	buckets        = 15
+)
+
+// metrics holds every metric of a node; docs/METRICS.md lists them. All scopes
+// are made at the start, none on the way of a request.
+type metrics struct {
+	reporter promreporter.Reporter
+	ends     [3][contract.NumReasons]tally.Counter
+	away     [contract.NumReasons]tally.Counter
+	repeats  tally.Counter
+	latency  tally.Histogram
+	wait     tally.Histogram
+	service  tally.Histogram
+	store    map[storeOutcome]tally.Counter
+
+	inFlight, waiting, slots, threshold, version, upstreams tally.Gauge
+}
+
+// storeOutcome is a call of the object API and how it ended.
+type storeOutcome struct {
+	call   string
+	failed bool
+}
+
+func newMetrics() *metrics {
+	registry := prometheus.NewRegistry()
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "heathershed",
+		CachedReporter:         reporter,
+		Separator:              promreporter.DefaultSeparator,
+		SanitizeOptions:        &promreporter.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportEvery)
+	m := &metrics{
+		reporter:  reporter,
+		repeats:   scope.Counter("requests_repeated"),
+		latency:   histogram(scope, "request_seconds"),
+		wait:      histogram(scope, "door_wait_seconds"),
+		service:   histogram(scope, "upstream_seconds"),
+		store:     make(map[storeOutcome]tally.Counter),
+		inFlight:  scope.Gauge("door_in_flight"),
+		waiting:   scope.Gauge("door_waiting"),
+		slots:     scope.Gauge("door_slots"),
+		threshold: scope.Gauge("door_threshold"),
+		version:   scope.Gauge("configuration_version"),
+		upstreams: scope.Gauge("upstreams_usable"),
+	}
+	for v := range m.ends {
+		for r := range m.ends[v] {
+			m.ends[v][r] = scope.Tagged(map[string]string{
+				"verdict": contract.Verdict(v).String(),
+				"reason":  contract.Reason(r).String(),
+			}).Counter("requests_ended")
+		}
+	}
+	for r := range m.away {
+		m.away[r] = scope.Tagged(map[string]string{"reason": contract.Reason(r).String()}).Counter("door_refused")
+	}
+	for _, call := range []string{callConfiguration, callList, callRead, callWrite} {
+		for failed, outcome := range map[bool]string{false: "ok", true: "failed"} {
+			m.store[storeOutcome{call, failed}] = scope.Tagged(map[string]string{"call": call, "outcome": outcome}).Counter("store_calls")
+		}
+	}
+	return m
+}
+
+func histogram(scope tally.Scope, name string) tally.Histogram {
+	return scope.Histogram(name, tally.MustMakeExponentialDurationBuckets(smallestBucket, 2, buckets))
+}
+
+func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
+
+// ended counts the end of a request that a client or the own upstream made.
+func (m *metrics) ended(reply *linkpb.CallReply, took time.Duration) {
+	m.latency.RecordDuration(took)
+	if int(reply.Verdict) < len(m.ends) && int(reply.Reason) < contract.NumReasons {
+		m.ends[reply.Verdict][reply.Reason].Inc(1) // a newer node may know more reasons
+	}
+}
+
+// ran records a request that the door let in.
+func (m *metrics) ran(wait, service time.Duration) {
+	m.wait.RecordDuration(wait)
+	m.service.RecordDuration(service)
+}
+
+// turnedAway counts a refusal at the door.
+func (m *metrics) turnedAway(r contract.Reason) { m.away[r].Inc(1) }
+
+// called counts a call of the object API.
+func (m *metrics) called(call string, err error) {
+	if c := m.store[storeOutcome{call, err != nil}]; c != nil {
+		c.Inc(1)
+	}
+}
+
+// serveScrapes serves the metrics as text until the node closes.
+func (n *Node) serveScrapes(l net.Listener) error {
+	if err := n.scrapes.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// runGauges sets the gauges from time to time.
+func (n *Node) runGauges(ctx context.Context) error {
+	for ctx.Err() == nil {
+		load := n.gate.Load(time.Now(), "")
+		n.metrics.inFlight.Update(float64(load.InFlight))
+		n.metrics.waiting.Update(float64(load.Waiting))
+		n.metrics.slots.Update(float64(load.Slots))
+		n.metrics.threshold.Update(float64(load.Threshold))
+		if t := n.table.Load(); t != nil {
+			n.metrics.version.Update(float64(t.Version))
+		}
+		_, usable := n.fleet.Counts()
+		n.metrics.upstreams.Update(float64(usable))
+		sleep(ctx, reportEvery)
+	}
+	return nil
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -11,6 +11,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,8 @@
 	// clientIdle is the longest time that a client's connection stays idle; it
 	// lies above what operators allow clients.
 	clientIdle = 60 * time.Second
+	// scrapeTimeout bounds the head of a scraper's request.
+	scrapeTimeout = 5 * time.Second
 )
 
 // Node is one process. Its methods are safe for concurrent use.
@@ -61,17 +64,20 @@
 	callers  *callers.Book
 	pressure *pressure.Table
 	budget   *budget
+	metrics  *metrics
 	peers    *peers
 
 	front      *front.Server
 	ready      *fasthttp.Server
 	heartbeats *fasthttp.Server
+	scrapes    *http.Server
 	server     *link.Server
 	links      *link.Set
 	traffic    link.Traffic
 
 	// announce has one pending signal when the own record may have changed.
 	announce chan struct{}
+	store    storeHealth
 	// listed is set once the other nodes' records were read.
 	listed   atomic.Bool
 	stopping atomic.Bool
@@ -102,6 +108,7 @@
 		callers:     callers.New(),
 		pressure:    pressure.New(),
 		budget:      newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
+		metrics:     newMetrics(),
 		announce:    make(chan struct{}, 1),
 	}
 	n.target = newTarget(n)
@@ -109,6 +116,7 @@
 	n.front = front.NewWith(front.Options{HeaderBytes: headBytes, IdleTimeout: clientIdle}, n.serveClient)
 	n.ready = &fasthttp.Server{Handler: n.serveReady, NoDefaultServerHeader: true}
 	n.heartbeats = &fasthttp.Server{Handler: n.serveHeartbeat, NoDefaultServerHeader: true}
+	n.scrapes = &http.Server{Handler: n.metrics.handler(), ReadHeaderTimeout: scrapeTimeout}
 	n.server = link.NewServer(n, &n.traffic)
 	return n
 }
@@ -130,7 +138,9 @@
 	group.Go(func() error { return n.server.Serve(l.link) })
 	group.Go(func() error { return n.ready.Serve(l.ready) })
 	group.Go(func() error { return n.heartbeats.Serve(l.heartbeats) })
+	group.Go(func() error { return n.serveScrapes(l.metrics) })
 	group.Go(func() error { return n.runConfiguration(running) })
+	group.Go(func() error { return n.runGauges(running) })
 	group.Go(func() error { return n.runRecord(running) })
 	group.Go(func() error {
 		defer cancel()
@@ -149,7 +159,7 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-type listeners struct{ clients, link, ready, heartbeats net.Listener }
+type listeners struct{ clients, link, ready, heartbeats, metrics net.Listener }
 
 func (n *Node) listen() (l listeners, err error) {
 	for _, at := range []struct {
@@ -161,6 +171,7 @@
 		{&l.link, n.cfg.Link, "link"},
 		{&l.ready, n.cfg.Ready, "ready"},
 		{&l.heartbeats, n.cfg.Heartbeats, "heartbeats"},
+		{&l.metrics, n.cfg.Metrics, "metrics"},
 	} {
 		if *at.to, err = net.Listen("tcp", at.address); err != nil {
 			return l, errors.Wrapf(err, "[addresses] %s", at.key)
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -130,13 +130,14 @@
 			d.n.log.Error("record", "err", err)
 			return true
 		}
+		began := time.Now()
 		o, err := d.n.objects.Put(ctx, recordKind, platform.Object{Name: want.VM, Revision: d.revision, Spec: spec})
+		d.n.called(callWrite, began, err)
 		if err == nil {
 			d.revision, d.written = o.Revision, want
 			d.n.log.Info("record written", "revision", o.Revision, "instance", want.Instance)
 			return true
 		}
-		d.n.log.Warn("store", "call", "write record", "err", err)
 		d.readOwn(ctx, err)
 		return false
 	})
@@ -147,13 +148,15 @@
 	if errors.Is(failed, store.ErrUnavailable) {
 		return
 	}
+	began := time.Now()
 	o, err := d.n.objects.Get(ctx, recordKind, d.n.cfg.VM)
 	switch {
 	case errors.Is(err, store.ErrNotFound):
 		d.revision, d.written = 0, record{}
 	case err != nil:
-		d.n.log.Warn("store", "call", "read record", "err", err)
+		d.n.called(callRead, began, err)
 	default:
+		d.n.called(callRead, began, nil)
 		d.take(o)
 	}
 }
@@ -169,9 +172,10 @@
 
 // list reads all records and reports whether it could.
 func (d *recordDuty) list(ctx context.Context, stale bool) bool {
+	began := time.Now()
 	objects, _, err := d.n.objects.List(ctx, recordKind, stale)
+	d.n.called(callList, began, err)
 	if err != nil {
-		d.n.log.Warn("store", "call", "list records", "err", err)
 		return false
 	}
 	for _, o := range objects {
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -46,6 +46,7 @@
 		if !n.again(ctx, c, arrived, mayHaveRun) {
 			break
 		}
+		n.logAgain(c, choice.VM, reply, arrived)
 	}
 	if last == nil {
 		return refuse(contract.ReasonNoUpstream, "no upstream of the service can be reached")
@@ -85,7 +86,11 @@
 	if arrived == 0 {
 		return true
 	}
-	return arrived < c.route.Attempts && n.budget.repeat(time.Now(), c.inner)
+	if arrived >= c.route.Attempts || !n.budget.repeat(time.Now(), c.inner) {
+		return false
+	}
+	n.metrics.repeats.Inc(1)
+	return true
 }
 
 // choose picks an upstream. Where none is known it waits a little: links open
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -44,11 +44,16 @@
 	permit, refusal := n.gate.Enter(ctx, now, doorRequest(req, now, deadline))
 	if refusal != nil {
 		reply := refuse(refusal.Reason, "no room")
+		n.metrics.turnedAway(refusal.Reason)
 		reply.RetryAfterMs = uint32(refusal.Wait.Milliseconds())
 		return reply
 	}
+	started := time.Now()
 	reply := n.run(ctx, req, deadline)
-	n.gate.Done(time.Now(), permit, contract.Verdict(reply.Verdict) == contract.Ran)
+	ended := time.Now()
+	n.gate.Done(ended, permit, contract.Verdict(reply.Verdict) == contract.Ran)
+	n.metrics.ran(started.Sub(now), ended.Sub(started))
+	n.logRun(req, reply, started.Sub(now), ended.Sub(started))
 	return reply
 }
 
@@ -89,7 +94,7 @@
 	defer fasthttp.ReleaseResponse(answer)
 	left := time.Until(deadline).Truncate(time.Millisecond)
 	n.build(hreq, req, state, left)
-	number := n.lineage.Begin(lineage.Parent{Kind: req.Kind, Level: contract.Level(req.Level), Deadline: time.Now().Add(left)})
+	number := n.lineage.Begin(lineage.Parent{ID: req.AttemptId, Kind: req.Kind, Level: contract.Level(req.Level), Deadline: time.Now().Add(left)})
 	defer n.lineage.End(number)
 	out := n.upstream.Do(ctx, upstream.Request{
 		HTTP:       hreq,
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -56,6 +56,7 @@
 		"clients":    n.front.Shutdown(ended),
 		"ready":      n.ready.ShutdownWithContext(ended),
 		"heartbeats": n.heartbeats.ShutdownWithContext(ended),
+		"metrics":    n.scrapes.Close(),
 	} {
 		if err != nil {
 			n.log.Info("closed with connections open", "server", name, "err", err)
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -18,7 +18,7 @@
 	// before mu.
 	order sync.Mutex
 	mu    sync.Mutex
-	book *instance.Book
+	book  *instance.Book
 	// sequence grows with each change that other nodes must hear of.
 	sequence uint64
 }
--- a/internal/vm/lineage/lineage.go
+++ b/internal/vm/lineage/lineage.go
@@ -40,6 +40,8 @@
 
 // Parent is what a call inherits from the request it belongs to.
 type Parent struct {
+	// ID is the parent's attempt.
+	ID string
 	// Kind is the parent's route.
 	Kind string
 	// Level is that of the root request.
@@ -207,7 +209,7 @@
 		}
 	}
 	if !certain && len(r.parents) == 0 {
-		p.Kind = ""
+		p.ID, p.Kind = "", ""
 	}
 	return p, found
 }
