--- a/internal/vm/door/shedder.go
+++ b/internal/vm/door/shedder.go
@@ -21,10 +21,10 @@
 	// waitLeast and waitPart give the wait in the queue that is taken for
 	// normal: a part of the mean latency, at least waitLeast.
 	waitLeast = 15 * time.Millisecond
-	waitPart  = 0.25
+	waitPart  = 0.1
 	// waitLevels is what a wait of twice the normal one adds to the threshold,
 	// and worst bounds how many times over.
-	waitLevels = 100.0
+	waitLevels = 150.0
 	worst      = 4.0
 )
 
