A silent upstream gets no work but a probe; records of gone nodes are removed; settings reload

Cause: an upstream that goes dark takes requests for as long as their deadlines last, since its door still has slots. The door refuses now once two or more run and none was answered for 800 ms or five mean latencies, but for one idempotent probe each 300 ms; the sender chooses another. Also: a record whose node had no link for 45 s is removed under its revision while the object API has answered for 20 s and most links are up; a missing own record is written again; settings that change, with SIGHUP or without, are checked and put in force, wrong ones change nothing.

--- a/cmd/heathershed-sidecar/main.go
+++ b/cmd/heathershed-sidecar/main.go
@@ -6,6 +6,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
@@ -86,8 +87,12 @@
 	defer endLog()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go reload(ctx, path, log, &level)
-	if err := sidecar.New(cfg, log).Run(ctx); err != nil {
+	n := sidecar.New(cfg, log)
+	go reload(ctx, path, log, func(next *settings.Sidecar) {
+		setLevel(&level, next)
+		n.Apply(next)
+	})
+	if err := n.Run(ctx); err != nil {
 		log.Error("failed", "err", err)
 		return exitFailed
 	}
@@ -123,23 +128,46 @@
 	}
 }
 
-// reload reads the settings again at each SIGHUP. Addresses stay as they are
-// until a restart; settings that are wrong change nothing.
-func reload(ctx context.Context, path string, log *slog.Logger, level *slog.LevelVar) {
+// lookEvery is how often the settings file is looked at: it may change without
+// a signal.
+const lookEvery = 2 * time.Second
+
+// reload reads the settings again at each SIGHUP and when their file has
+// changed. Settings that are wrong change nothing.
+func reload(ctx context.Context, path string, log *slog.Logger, apply func(*settings.Sidecar)) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	last := read(path)
 	for {
+		signalled := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-signals:
+			signalled = true
+		case <-ticker.C:
+		}
+		text := read(path)
+		if !signalled && (text == nil || bytes.Equal(text, last)) {
+			continue
 		}
-		cfg, err := settings.LoadSidecar(path)
+		last = text
+		cfg, err := settings.ParseSidecar(path, text)
 		if err != nil {
 			log.Error("reload: settings refused, the old ones stay", "err", err)
 			continue
 		}
-		setLevel(level, cfg)
-		log.Info("reload", "log_level", cfg.LogLevel)
+		apply(cfg)
+	}
+}
+
+// read returns the content of the settings file, or nil where it can't be read.
+func read(path string) []byte {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil
 	}
+	return text
 }
--- a/internal/contract/retry/again.go
+++ b/internal/contract/retry/again.go
@@ -63,6 +63,7 @@
 	contract.ReasonUpstreamFailed:  paceFailover,
 	contract.ReasonPartialAnswer:   paceFailover,
 	contract.ReasonStaleTarget:     paceFailover,
+	contract.ReasonUpstreamSilent:  paceFailover,
 }
 
 // Again decides whether a failed attempt is worth another one, and after which
--- a/internal/contract/verdict.go
+++ b/internal/contract/verdict.go
@@ -93,6 +93,8 @@
 	ReasonStaleTarget
 	// ReasonRingFull: a bounded ring inside a node was full.
 	ReasonRingFull
+	// ReasonUpstreamSilent: the upstream has stopped answering.
+	ReasonUpstreamSilent
 
 	// NumReasons is the number of reasons, for arrays indexed by Reason.
 	NumReasons = iota
@@ -104,6 +106,7 @@
 	"link-lost", "upstream-refused", "upstream-failed", "partial-answer",
 	"cancelled", "retry-budget", "parent-ended", "order-running",
 	"order-unknown", "order-expired", "order-home", "stale-target", "ring-full",
+	"upstream-silent",
 }
 
 // String returns the reason as the Heathershed-Reason header spells it.
--- a/internal/sidecar/budget.go
+++ b/internal/sidecar/budget.go
@@ -30,6 +30,13 @@
 	return &budget{ratio: ratio * safety, slack: float64(slack) * safety, window: window, nodes: 1}
 }
 
+// setBound takes in another bound.
+func (b *budget) setBound(ratio float64, slack int, window time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.slack, b.window = ratio*safety, float64(slack)*safety, window
+}
+
 // setNodes takes in how many nodes share the slack.
 func (b *budget) setNodes(n int) {
 	b.mu.Lock()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -81,6 +81,8 @@
 	// listed is set once the other nodes' records were read.
 	listed   atomic.Bool
 	stopping atomic.Bool
+	// grace bounds a planned stop, in nanoseconds.
+	grace atomic.Int64
 	// inFlight counts the requests of clients and other nodes.
 	inFlight atomic.Int64
 }
@@ -111,6 +113,7 @@
 		metrics:     newMetrics(),
 		announce:    make(chan struct{}, 1),
 	}
+	n.grace.Store(int64(cfg.Grace))
 	n.target = newTarget(n)
 	n.peers = newPeers(n)
 	n.front = front.NewWith(front.Options{HeaderBytes: headBytes, IdleTimeout: clientIdle}, n.serveClient)
@@ -154,6 +157,15 @@
 	return err
 }
 
+// Apply puts in force what can change while the process runs: the bounds of
+// repeats and of a planned stop. Names and addresses stay until a restart.
+func (n *Node) Apply(cfg *settings.Sidecar) {
+	n.budget.setBound(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow)
+	n.grace.Store(int64(cfg.Grace))
+	n.log.Info("reload", "retry_ratio", cfg.RetryRatio, "retry_slack", cfg.RetrySlack,
+		"retry_window_ms", cfg.RetryWindow.Milliseconds(), "grace_ms", cfg.Grace.Milliseconds())
+}
+
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", address)
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -1,7 +1,10 @@
 package sidecar
 
 import (
+	"maps"
+	"slices"
 	"sync"
+	"time"
 
 	linkpb "heathershed/api/link"
 	"heathershed/internal/fleet"
@@ -18,6 +21,8 @@
 	mu       sync.Mutex
 	members  map[string]*linkpb.Member // by VM
 	sessions map[*link.Session]uint64  // own sequence told last
+	// down is since when no link to a known node is up.
+	down map[string]time.Time
 }
 
 func newPeers(n *Node) *peers {
@@ -25,6 +30,7 @@
 		n:        n,
 		members:  make(map[string]*linkpb.Member),
 		sessions: make(map[*link.Session]uint64),
+		down:     make(map[string]time.Time),
 	}
 }
 
@@ -57,6 +63,9 @@
 		return old, false
 	}
 	p.members[m.Vm] = m
+	if old == nil {
+		p.down[m.Vm] = time.Now()
+	}
 	p.n.fleet.Put(fleet.Upstream{
 		VM:         m.Vm,
 		Service:    m.Service,
@@ -82,11 +91,49 @@
 func (p *peers) forget(vm string) {
 	p.mu.Lock()
 	delete(p.members, vm)
+	delete(p.down, vm)
 	p.mu.Unlock()
 	p.n.fleet.Remove(vm)
 	p.want()
 }
 
+// linked takes in whether a link to a node is up.
+func (p *peers) linked(vm string, up bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if up {
+		delete(p.down, vm)
+	} else if _, known := p.members[vm]; known {
+		p.down[vm] = time.Now()
+	}
+}
+
+// downFor is how long no link to a node has been up; 0 where one is.
+func (p *peers) downFor(vm string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since, down := p.down[vm]
+	if !down {
+		return 0
+	}
+	return time.Since(since)
+}
+
+// mostlyLinked reports whether links to most known nodes are up: else this node
+// is more likely cut off than they are gone.
+func (p *peers) mostlyLinked() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return 2*len(p.down) < len(p.members)
+}
+
+// names returns the known nodes.
+func (p *peers) names() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Keys(p.members))
+}
+
 // want asks for links to all known nodes.
 func (p *peers) want() {
 	p.mu.Lock()
@@ -174,6 +221,7 @@
 	vm := s.Peer().VM
 	if s.Dialled() {
 		n.fleet.Linked(vm, true)
+		n.peers.linked(vm, true)
 		n.log.Info("link up", "vm", vm)
 		return
 	}
@@ -187,6 +235,7 @@
 	n.peers.mu.Unlock()
 	if s.Dialled() {
 		n.fleet.Linked(s.Peer().VM, false)
+		n.peers.linked(s.Peer().VM, false)
 		n.log.Info("link lost", "vm", s.Peer().VM, "err", reason)
 	}
 }
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -26,6 +26,11 @@
 	listSpread = 5 * time.Second
 	// settle joins changes that follow each other closely into one write.
 	settle = 200 * time.Millisecond
+	// goneAfter is how long a node has had no link to another one when it takes
+	// that one's record for left behind, and trusted how long the object API
+	// must have answered without a failure.
+	goneAfter = 45 * time.Second
+	trusted   = 20 * time.Second
 )
 
 // record is what a node keeps in the object API: what another node needs to
@@ -56,7 +61,7 @@
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
-			d.list(ctx, true)
+			d.look(ctx)
 		case <-n.announce:
 			sleep(ctx, settle)
 			d.write(ctx)
@@ -191,6 +196,54 @@
 	return true
 }
 
+// look reads all records from time to time: it finds nodes that no link told
+// of, writes the own record again where it is missing, and removes those of
+// nodes that are gone.
+func (d *recordDuty) look(ctx context.Context) {
+	began := time.Now()
+	objects, _, err := d.n.objects.List(ctx, recordKind, true)
+	d.n.called(callList, began, err)
+	if err != nil {
+		return
+	}
+	there := make(map[string]bool, len(objects))
+	for _, o := range objects {
+		there[o.Name] = true
+		if o.Name != d.n.cfg.VM {
+			d.learn(o)
+			d.removeGone(ctx, o)
+		}
+	}
+	for _, vm := range d.n.peers.names() {
+		if !there[vm] && d.n.peers.downFor(vm) > goneAfter {
+			d.n.log.Info("node forgotten", "vm", vm)
+			d.n.peers.forget(vm)
+		}
+	}
+	if !there[d.n.cfg.VM] && d.revision > 0 {
+		d.readOwn(ctx, store.ErrUnknown) // the list may be old
+		d.write(ctx)
+	}
+}
+
+// removeGone removes the record of a node that is long gone, under the revision
+// that was read: one that has come back has written another.
+func (d *recordDuty) removeGone(ctx context.Context, o platform.Object) {
+	away := d.n.peers.downFor(o.Name)
+	answered := d.n.store.answeredFor(time.Now())
+	if away < goneAfter || answered < trusted || !d.n.peers.mostlyLinked() {
+		return
+	}
+	began := time.Now()
+	err := d.n.objects.Delete(ctx, recordKind, o.Name, o.Revision)
+	d.n.log.Info("record removed", "vm", o.Name, "revision", o.Revision, "away_ms", away.Milliseconds(),
+		"store_answers_ms", answered.Milliseconds(), "err", err)
+	if errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrConflict) {
+		err = nil // another node was first, or it is back
+	}
+	d.n.called(callWrite, began, err)
+}
+
 // expect takes the upstream of the own record for the present one until its
 // first heartbeat.
 func (d *recordDuty) expect() {
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -63,7 +63,7 @@
 func doorRequest(req *linkpb.CallRequest, now, deadline time.Time) door.Request {
 	const ranksPerClass = 2
 	class := int(contract.Level(req.Level).Class())
-	r := door.Request{Kind: req.Kind, Rank: ranksPerClass * (contract.NumClasses - class), Deadline: deadline}
+	r := door.Request{Kind: req.Kind, Rank: ranksPerClass * (contract.NumClasses - class), Deadline: deadline, Idempotent: req.Idempotent}
 	if req.Inner {
 		r.Rank--
 	}
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -25,7 +25,7 @@
 		n.close()
 		return running.Err()
 	}
-	n.log.Info("stop", "grace_ms", n.cfg.Grace.Milliseconds(), "in_flight", n.inFlight.Load())
+	n.log.Info("stop", "grace_ms", time.Duration(n.grace.Load()).Milliseconds(), "in_flight", n.inFlight.Load())
 	n.target.stop()
 	n.front.Leave()
 	n.awaitQuiet(running)
@@ -37,7 +37,7 @@
 func (n *Node) awaitQuiet(ctx context.Context) {
 	began := time.Now()
 	idleSince := began
-	for time.Since(began) < n.cfg.Grace-margin && ctx.Err() == nil {
+	for time.Since(began) < time.Duration(n.grace.Load())-margin && ctx.Err() == nil {
 		if n.inFlight.Load() > 0 {
 			idleSince = time.Now()
 		}
--- a/internal/sidecar/storecalls.go
+++ b/internal/sidecar/storecalls.go
@@ -21,7 +21,9 @@
 type storeHealth struct {
 	mu    sync.Mutex
 	since time.Time // of the first failure; zero while it answers
-	slow  bool
+	// answering is since when all calls were answered.
+	answering time.Time
+	slow      bool
 }
 
 // called takes in the outcome of a call that waits for nothing else.
@@ -31,6 +33,9 @@
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if err != nil || h.answering.IsZero() {
+		h.answering = now
+	}
 	switch {
 	case err != nil && h.since.IsZero():
 		h.since = now
@@ -46,3 +51,13 @@
 		n.log.Info("store speed", "call", call, "slow", slow, "took_ms", now.Sub(began).Milliseconds())
 	}
 }
+
+// answeredFor is how long all calls have been answered.
+func (h *storeHealth) answeredFor(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.answering.IsZero() || !h.since.IsZero() {
+		return 0
+	}
+	return now.Sub(h.answering)
+}
--- a/internal/vm/door/door.go
+++ b/internal/vm/door/door.go
@@ -26,6 +26,8 @@
 	Rank int
 	// Deadline is when the request ends, answered or not.
 	Deadline time.Time
+	// Idempotent requests may try an upstream that does not answer.
+	Idempotent bool
 	// Useful is until when the answer has its full worth; zero: the deadline.
 	Useful time.Time
 }
@@ -85,6 +87,7 @@
 	queue   []*entry
 	times   times
 	shedder shedder
+	silence silence
 }
 
 // look moves the threshold; it is called before each event.
@@ -101,6 +104,9 @@
 func (c *controller) offer(now time.Time, r Request) (*entry, *Refusal) {
 	c.look(now)
 	c.shedder.offered(c.times.expected(r.Kind))
+	if !c.silence.admits(now, c.inFlight, c.times.mean(), r.Idempotent) {
+		return nil, &Refusal{Reason: contract.ReasonUpstreamSilent, Wait: probeEvery}
+	}
 	e := &entry{Request: r, since: now}
 	if c.inFlight < c.slots && len(c.queue) == 0 {
 		c.start(now, e)
@@ -142,6 +148,7 @@
 }
 
 func (c *controller) start(now time.Time, e *entry) {
+	c.silence.began(now, c.inFlight)
 	e.state, e.since = running, now
 	c.inFlight++
 }
@@ -155,6 +162,7 @@
 	e.state = ended
 	c.inFlight--
 	if ran {
+		c.silence.answered(now)
 		c.times.observe(e.Kind, now.Sub(e.since))
 	}
 	c.dispatch(now)
--- a/internal/vm/door/gate.go
+++ b/internal/vm/door/gate.go
@@ -30,6 +30,7 @@
 	defer g.mu.Unlock()
 	if fresh {
 		g.c.times.forget()
+		g.c.silence = silence{since: now}
 	}
 	g.open, g.warmAt = true, warmAt
 	g.c.slots = max(slots, 1)
