--- a/cmd/heathershed-sidecar/main.go
+++ b/cmd/heathershed-sidecar/main.go
@@ -81,7 +81,7 @@
 	var level slog.LevelVar
 	setLevel(&level, cfg)
 	lines := eventlog.NewWriter(os.Stdout)
-	log := slog.New(eventlog.NewLimiter(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: &level})))
+	log := slog.New(eventlog.NewLimiter(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: &level}))).With("at", cfg.VM)
 	logged, endLog := writeLog(lines)
 	defer logged()
 	defer endLog()
--- /dev/null
+++ b/cmd/heathershed/explain.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"heathershed/internal/explain"
+)
+
+func explainFlags(flags *flag.FlagSet, inv *invocation) {
+	flags.StringVar(&inv.logs, "logs", "", "log files of the nodes, by commas; more may follow as arguments")
+}
+
+// runExplain tells the story of one request from logs alone.
+func runExplain(_ context.Context, inv *invocation) error {
+	if len(inv.args) < 1 {
+		return usagef("explain: want the id of a request")
+	}
+	files := append(strings.FieldsFunc(inv.logs, func(r rune) bool { return r == ',' }), inv.args[1:]...)
+	if len(files) == 0 {
+		return usagef("explain: want -logs FILE")
+	}
+	book := explain.New()
+	for _, name := range files {
+		if err := readLog(book, name); err != nil {
+			return err
+		}
+	}
+	story, ok := book.Story(inv.args[0])
+	if !ok {
+		return errors.Newf("no line names %s; of requests that end well only some are logged", inv.args[0])
+	}
+	return story.Write(inv.stdout)
+}
+
+func readLog(book *explain.Book, name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return errors.Wrap(err, "log")
+	}
+	defer f.Close()
+	return errors.Wrap(book.Read(f), name)
+}
--- a/internal/sidecar/logs.go
+++ b/internal/sidecar/logs.go
@@ -13,17 +13,26 @@
 // its id: the same ones at every node.
 const sampleOne = 64
 
+// serverError is the first status that says that an upstream failed.
+const serverError = 500
+
+// endedWell reports whether the upstream answered and did not fail.
+func endedWell(reply *linkpb.CallReply) bool {
+	return contract.Verdict(reply.Verdict) == contract.Ran && reply.Status < serverError
+}
+
 func sampled(id string) bool { return xxhash.Sum64String(id)%sampleOne == 0 }
 
 // logEnd writes the line of a request's end: of each that failed, and of some
 // that went well.
 func (n *Node) logEnd(c *call, reply *linkpb.CallReply, took time.Duration) {
 	verdict := contract.Verdict(reply.Verdict)
-	if verdict == contract.Ran && !sampled(c.attempt) {
+	well := endedWell(reply)
+	if well && !sampled(c.attempt) {
 		return
 	}
 	message := "request failed"
-	if verdict == contract.Ran {
+	if well {
 		message = "request answered"
 	}
 	route := ""
@@ -55,11 +64,12 @@
 // logRun writes what the upstream did with a request that the door let in.
 func (n *Node) logRun(req *linkpb.CallRequest, reply *linkpb.CallReply, wait, service time.Duration) {
 	verdict := contract.Verdict(reply.Verdict)
-	if verdict == contract.Ran && !sampled(req.AttemptId) {
+	well := endedWell(reply)
+	if well && !sampled(req.AttemptId) {
 		return
 	}
 	message := "run failed"
-	if verdict == contract.Ran {
+	if well {
 		message = "run ended"
 	}
 	n.log.Info(message, "id", req.AttemptId, "route", req.Kind, "from", req.FromVm, "instance", n.target.state().ID,
