One copy of waits, mains and metrics; a deadline is told as one at either end of a link

Cause: a whole run of the tests beside a busy machine failed twice. TestVerdictOfEachFaultDuringACall: the other end of a link counts the deadline too and resets the stream a moment before the caller's own timer, so an order at its deadline was told as a lost link. The reason follows the status now; TestEndOfACallByItsError fails before. TestEventJSONAndText: the new reason upstream-silent had no text on the time line. Also: the timer wait that stood in node, sidecar, resolve and fake is internal/wait; the flags and exit codes of both nodes are internal/program; the root scope of metrics is internal/telemetry.

--- a/cmd/heathershed-node/main.go
+++ b/cmd/heathershed-node/main.go
@@ -8,8 +8,6 @@
 
 import (
 	"context"
-	"flag"
-	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -17,46 +15,11 @@
 	"syscall"
 
 	"heathershed/internal/node"
+	"heathershed/internal/program"
 	"heathershed/internal/settings"
-	"heathershed/internal/version"
 )
 
-const (
-	exitOK = iota
-	exitFailed
-	exitUsage
-)
-
-func main() { os.Exit(run()) }
-
-func run() int {
-	path := flag.String("config", "", "settings file (INI)")
-	check := flag.Bool("check", false, "check the settings and exit")
-	show := flag.Bool("print", false, "print the settings in force and exit")
-	showVersion := flag.Bool("version", false, "print the version and exit")
-	flag.Parse()
-	if *showVersion {
-		fmt.Println(version.Version)
-		return exitOK
-	}
-	if *path == "" || flag.NArg() > 0 {
-		fmt.Fprintln(os.Stderr, "usage: heathershed-node -config FILE [-check | -print]")
-		return exitUsage
-	}
-	cfg, err := settings.Load(*path)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitUsage
-	}
-	if *check {
-		return exitOK
-	}
-	if *show {
-		_ = cfg.Print(os.Stdout)
-		return exitOK
-	}
-	return serve(cfg)
-}
+func main() { os.Exit(program.Run("heathershed-node", settings.Load, serve)) }
 
 // heedSignals begins a planned stop at the first signal and ends it at the
 // second one.
@@ -69,7 +32,7 @@
 	second()
 }
 
-func serve(cfg *settings.Settings) int {
+func serve(cfg *settings.Settings, _ string) int {
 	debug.SetMemoryLimit(cfg.MemoryLimit)
 	var level slog.Level
 	_ = level.UnmarshalText([]byte(cfg.LogLevel))
@@ -77,14 +40,14 @@
 	n, err := node.New(cfg, log)
 	if err != nil {
 		log.Error("start", "err", err)
-		return exitUsage
+		return program.ExitUsage
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go heedSignals(stop, n.Abort)
 	if err := n.Run(ctx); err != nil {
 		log.Error("stopped", "err", err)
-		return exitFailed
+		return program.ExitFailed
 	}
-	return exitOK
+	return program.ExitOK
 }
--- a/cmd/heathershed-sidecar/main.go
+++ b/cmd/heathershed-sidecar/main.go
@@ -8,7 +8,6 @@
 import (
 	"bytes"
 	"context"
-	"flag"
 	"fmt"
 	"log/slog"
 	"os"
@@ -18,15 +17,9 @@
 	"time"
 
 	"heathershed/internal/eventlog"
+	"heathershed/internal/program"
 	"heathershed/internal/settings"
 	"heathershed/internal/sidecar"
-	"heathershed/internal/version"
-)
-
-const (
-	exitOK = iota
-	exitFailed
-	exitUsage
 )
 
 // heapPart is the part of the VM's memory that the heap may take before the
@@ -37,43 +30,7 @@
 // beside processor time.
 const gcPercent = 50
 
-func main() { os.Exit(run()) }
-
-func run() int {
-	path := flag.String("config", "", "settings file (INI)")
-	check := flag.Bool("check", false, "check the settings and exit")
-	show := flag.Bool("print", false, "print the settings in force and exit")
-	showVersion := flag.Bool("version", false, "print the version and exit")
-	flag.Parse()
-	if *showVersion {
-		fmt.Println(version.Version)
-		return exitOK
-	}
-	if *path == "" || flag.NArg() > 0 {
-		fmt.Fprintln(os.Stderr, "usage: heathershed-sidecar -config FILE [-check | -print]")
-		return exitUsage
-	}
-	cfg, err := settings.LoadSidecar(*path)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitUsage
-	}
-	switch {
-	case *check:
-		return exitOK
-	case *show:
-		return printed(cfg.Print(os.Stdout))
-	}
-	return serve(cfg, *path)
-}
-
-func printed(err error) int {
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitFailed
-	}
-	return exitOK
-}
+func main() { os.Exit(program.Run("heathershed-sidecar", settings.LoadSidecar, serve)) }
 
 func serve(cfg *settings.Sidecar, path string) int {
 	debug.SetGCPercent(gcPercent)
@@ -94,9 +51,9 @@
 	})
 	if err := n.Run(ctx); err != nil {
 		log.Error("failed", "err", err)
-		return exitFailed
+		return program.ExitFailed
 	}
-	return exitOK
+	return program.ExitOK
 }
 
 // lastLines bounds the wait for the last lines of the log.
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/stats"
+	"google.golang.org/grpc/status"
 
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
@@ -73,10 +75,12 @@
 	if sent {
 		verdict = contract.MayHaveRun
 	}
-	switch ctx.Err() {
-	case context.DeadlineExceeded:
+	// The other end counts the deadline too, and may be a moment ahead.
+	late := ctx.Err() == context.DeadlineExceeded || status.Code(err) == codes.DeadlineExceeded
+	switch {
+	case late:
 		return failure(verdict, contract.ReasonDeadline, "no answer from "+l.target.VM)
-	case context.Canceled:
+	case ctx.Err() != nil:
 		return failure(verdict, contract.ReasonCancelled, "")
 	}
 	return failure(verdict, contract.ReasonLinkLost, "link to "+l.target.VM+": "+err.Error())
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -5,13 +5,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
-	promreporter "github.com/uber-go/tally/v4/prometheus"
 
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
 	"heathershed/internal/report"
+	"heathershed/internal/telemetry"
 	"heathershed/internal/vm/admission"
 )
 
@@ -21,8 +20,8 @@
 // metrics holds every metric of a node; docs/METRICS.md lists them. All scopes
 // are made at the start, none on the way of a call.
 type metrics struct {
-	reporter promreporter.Reporter
-	ended    [3][contract.NumReasons]tally.Counter
+	scrapes  http.Handler
+	ended    telemetry.Ends
 	latency  tally.Histogram
 	retries  tally.Counter
 	inFlight tally.Gauge
@@ -35,24 +34,8 @@
 }
 
 func newMetrics() *metrics {
-	registry := prometheus.NewRegistry()
-	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 "heathershed",
-		CachedReporter:         reporter,
-		Separator:              promreporter.DefaultSeparator,
-		SanitizeOptions:        &promreporter.DefaultSanitizerOpts,
-		OmitCardinalityMetrics: true,
-	}, reportEvery)
-	m := &metrics{reporter: reporter}
-	for v := range m.ended {
-		for r := range m.ended[v] {
-			m.ended[v][r] = scope.Tagged(map[string]string{
-				"verdict": contract.Verdict(v).String(),
-				"reason":  contract.Reason(r).String(),
-			}).Counter("calls_ended")
-		}
-	}
+	scope, handler := telemetry.NewScope(reportEvery)
+	m := &metrics{scrapes: handler, ended: telemetry.NewEnds(scope, "calls_ended")}
 	for c := range m.shedBy {
 		for r := range m.shedBy[c] {
 			m.shedBy[c][r] = scope.Tagged(map[string]string{
@@ -70,14 +53,12 @@
 	return m
 }
 
-func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
+func (m *metrics) handler() http.Handler { return m.scrapes }
 
 // caller counts the end of a call that a caller or the own upstream made here.
 func (m *metrics) caller(reply *linkpb.CallReply, took time.Duration) {
 	m.latency.RecordDuration(took)
-	if int(reply.Verdict) < len(m.ended) && int(reply.Reason) < contract.NumReasons {
-		m.ended[reply.Verdict][reply.Reason].Inc(1) // a newer node may know more reasons
-	}
+	m.ended.Count(reply.Verdict, reply.Reason)
 }
 
 // shed counts a refusal at the own upstream.
--- a/internal/node/send.go
+++ b/internal/node/send.go
@@ -10,6 +10,7 @@
 	"heathershed/internal/contract/retry"
 	"heathershed/internal/datacentre/routing"
 	"heathershed/internal/timeline"
+	"heathershed/internal/wait"
 )
 
 // maxExclude is how many VMs a call remembers not to try again.
@@ -44,7 +45,7 @@
 func (n *Node) again(ctx context.Context, c *call, number int, reply *linkpb.CallReply) bool {
 	now := time.Now()
 	deadline, _ := ctx.Deadline()
-	wait, again := n.policy.Again(retry.Attempt{
+	pause, again := n.policy.Again(retry.Attempt{
 		Kind:           c.kind,
 		Verdict:        contract.Verdict(reply.Verdict),
 		Reason:         contract.Reason(reply.Reason),
@@ -64,7 +65,7 @@
 	}
 	n.metrics.retries.Inc(1)
 	n.recordRetry(c, number, reply)
-	return sleep(ctx, wait)
+	return sleep(ctx, pause)
 }
 
 // attempt sends the call once. The VM is empty where none could be chosen.
@@ -209,16 +210,4 @@
 }
 
 // sleep waits for d and reports whether the context still goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
+func sleep(ctx context.Context, d time.Duration) bool { return wait.For(ctx, d) == nil }
--- a/internal/platform/fake/calls.go
+++ b/internal/platform/fake/calls.go
@@ -135,7 +135,7 @@
 		}
 		s.counts.Waiting++
 		s.mu.Unlock()
-		err = wait(ctx, changed)
+		err = awaitChange(ctx, changed)
 		s.mu.Lock()
 		s.counts.Waiting--
 		s.mu.Unlock()
@@ -145,7 +145,7 @@
 	}
 }
 
-func wait(ctx context.Context, changed <-chan struct{}) error {
+func awaitChange(ctx context.Context, changed <-chan struct{}) error {
 	select {
 	case <-changed:
 		return nil
--- a/internal/platform/fake/fake.go
+++ b/internal/platform/fake/fake.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"heathershed/internal/platform"
+	"heathershed/internal/wait"
 )
 
 // defaultLog is the number of changes that watches can resume over.
@@ -65,7 +66,7 @@
 func New(opts ...Option) *Store {
 	s := &Store{
 		now:     time.Now,
-		sleep:   sleepTimer,
+		sleep:   wait.For,
 		rng:     rand.New(rand.NewSource(1)),
 		state:   newState(defaultLog),
 		changed: make(chan struct{}),
@@ -76,17 +77,6 @@
 	return s
 }
 
-func sleepTimer(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // SetFaults replaces the faults in force.
 func (s *Store) SetFaults(f Faults) {
 	s.mu.Lock()
--- a/internal/platform/resolve/resolve.go
+++ b/internal/platform/resolve/resolve.go
@@ -32,6 +32,7 @@
 	"github.com/cockroachdb/errors"
 
 	"heathershed/internal/platform"
+	"heathershed/internal/wait"
 )
 
 // Options of a Store. The zero value of each has a default.
@@ -58,7 +59,7 @@
 		o.Now = time.Now
 	}
 	if o.Sleep == nil {
-		o.Sleep = sleepTimer
+		o.Sleep = wait.For
 	}
 	if o.Rate <= 0 {
 		o.Rate = 10
@@ -125,17 +126,6 @@
 	return s.stats
 }
 
-func sleepTimer(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // backoff returns a fresh backoff that draws from the process's source.
 func (s *Store) backoff() *Backoff {
 	return &Backoff{Base: s.opts.BackoffBase, Max: s.opts.BackoffMax, Draw: s.draw}
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	store "heathershed/internal/platform"
+	"heathershed/internal/wait"
 	"heathershed/platform"
 )
 
@@ -43,7 +44,7 @@
 			retry = minRetry
 			continue
 		}
-		sleep(ctx, retry/2+rand.N(retry))
+		_ = wait.For(ctx, retry/2+rand.N(retry))
 		retry = min(2*retry, maxRetry)
 	}
 	return nil
@@ -106,13 +107,3 @@
 	n.log.Info("configuration in force", "version", table.Version, "from", from, "routes", table.Routes())
 	n.tellAll()
 }
-
-// sleep waits for d or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -7,12 +7,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
-	promreporter "github.com/uber-go/tally/v4/prometheus"
 
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
+	"heathershed/internal/telemetry"
+	"heathershed/internal/wait"
 )
 
 const (
@@ -26,14 +26,14 @@
 // metrics holds every metric of a node; docs/METRICS.md lists them. All scopes
 // are made at the start, none on the way of a request.
 type metrics struct {
-	reporter promreporter.Reporter
-	ends     [3][contract.NumReasons]tally.Counter
-	away     [contract.NumReasons]tally.Counter
-	repeats  tally.Counter
-	latency  tally.Histogram
-	wait     tally.Histogram
-	service  tally.Histogram
-	store    map[storeOutcome]tally.Counter
+	scrapes http.Handler
+	ends    telemetry.Ends
+	away    [contract.NumReasons]tally.Counter
+	repeats tally.Counter
+	latency tally.Histogram
+	wait    tally.Histogram
+	service tally.Histogram
+	store   map[storeOutcome]tally.Counter
 
 	inFlight, waiting, slots, threshold, version, upstreams tally.Gauge
 }
@@ -45,17 +45,10 @@
 }
 
 func newMetrics() *metrics {
-	registry := prometheus.NewRegistry()
-	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 "heathershed",
-		CachedReporter:         reporter,
-		Separator:              promreporter.DefaultSeparator,
-		SanitizeOptions:        &promreporter.DefaultSanitizerOpts,
-		OmitCardinalityMetrics: true,
-	}, reportEvery)
+	scope, handler := telemetry.NewScope(reportEvery)
 	m := &metrics{
-		reporter:  reporter,
+		scrapes:   handler,
+		ends:      telemetry.NewEnds(scope, "requests_ended"),
 		repeats:   scope.Counter("requests_repeated"),
 		latency:   histogram(scope, "request_seconds"),
 		wait:      histogram(scope, "door_wait_seconds"),
@@ -68,14 +61,6 @@
 		version:   scope.Gauge("configuration_version"),
 		upstreams: scope.Gauge("upstreams_usable"),
 	}
-	for v := range m.ends {
-		for r := range m.ends[v] {
-			m.ends[v][r] = scope.Tagged(map[string]string{
-				"verdict": contract.Verdict(v).String(),
-				"reason":  contract.Reason(r).String(),
-			}).Counter("requests_ended")
-		}
-	}
 	for r := range m.away {
 		m.away[r] = scope.Tagged(map[string]string{"reason": contract.Reason(r).String()}).Counter("door_refused")
 	}
@@ -91,19 +76,17 @@
 	return scope.Histogram(name, tally.MustMakeExponentialDurationBuckets(smallestBucket, 2, buckets))
 }
 
-func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
+func (m *metrics) handler() http.Handler { return m.scrapes }
 
 // ended counts the end of a request that a client or the own upstream made.
 func (m *metrics) ended(reply *linkpb.CallReply, took time.Duration) {
 	m.latency.RecordDuration(took)
-	if int(reply.Verdict) < len(m.ends) && int(reply.Reason) < contract.NumReasons {
-		m.ends[reply.Verdict][reply.Reason].Inc(1) // a newer node may know more reasons
-	}
+	m.ends.Count(reply.Verdict, reply.Reason)
 }
 
 // ran records a request that the door let in.
-func (m *metrics) ran(wait, service time.Duration) {
-	m.wait.RecordDuration(wait)
+func (m *metrics) ran(waited, service time.Duration) {
+	m.wait.RecordDuration(waited)
 	m.service.RecordDuration(service)
 }
 
@@ -127,7 +110,7 @@
 
 // runGauges sets the gauges from time to time.
 func (n *Node) runGauges(ctx context.Context) error {
-	for ctx.Err() == nil {
+	for wait.For(ctx, reportEvery) == nil {
 		load := n.gate.Load(time.Now(), "")
 		n.metrics.inFlight.Update(float64(load.InFlight))
 		n.metrics.waiting.Update(float64(load.Waiting))
@@ -138,7 +121,6 @@
 		}
 		_, usable := n.fleet.Counts()
 		n.metrics.upstreams.Update(float64(usable))
-		sleep(ctx, reportEvery)
 	}
 	return nil
 }
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -11,6 +11,7 @@
 	linkpb "heathershed/api/link"
 	store "heathershed/internal/platform"
 	"heathershed/internal/vm/instance"
+	"heathershed/internal/wait"
 	"heathershed/platform"
 )
 
@@ -63,7 +64,7 @@
 		case <-timer.C:
 			d.look(ctx)
 		case <-n.announce:
-			sleep(ctx, settle)
+			_ = wait.For(ctx, settle)
 			d.write(ctx)
 		}
 		timer.Stop()
@@ -90,7 +91,7 @@
 func (d *recordDuty) until(ctx context.Context, try func() bool) {
 	retry := minRetry
 	for ctx.Err() == nil && !try() {
-		sleep(ctx, retry/2+rand.N(retry))
+		_ = wait.For(ctx, retry/2+rand.N(retry))
 		retry = min(2*retry, maxRetry)
 	}
 }
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"heathershed/internal/wait"
 )
 
 const (
@@ -44,7 +46,7 @@
 		if time.Since(began) > notice && time.Since(idleSince) > quiet {
 			return
 		}
-		sleep(ctx, stopPoll)
+		_ = wait.For(ctx, stopPoll)
 	}
 }
 
--- a/internal/timeline/text.go
+++ b/internal/timeline/text.go
@@ -36,6 +36,7 @@
 	contract.ReasonOrderHome:       "the home of the order can't be reached or does not agree",
 	contract.ReasonStaleTarget:     "the VM was restarted since it was chosen",
 	contract.ReasonRingFull:        "a ring inside the node was full",
+	contract.ReasonUpstreamSilent:  "the upstream has stopped answering",
 }
 
 // Write writes the events as one line each, with the gaps before the first
