--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -76,7 +76,6 @@
 		grpc.InitialConnWindowSize(windowSize),
 		grpc.ReadBufferSize(bufferSize),
 		grpc.WriteBufferSize(bufferSize),
-		grpc.SharedWriteBuffer(true),
 	)
 	linkpb.RegisterLinkServer(s.grpc, s)
 	return s
--- a/internal/link/set.go
+++ b/internal/link/set.go
@@ -237,7 +237,6 @@
 		grpc.WithInitialConnWindowSize(windowSize),
 		grpc.WithReadBufferSize(bufferSize),
 		grpc.WithWriteBufferSize(bufferSize),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithDefaultCallOptions(
 			grpc.MaxCallRecvMsgSize(MaxMessage),
 			grpc.MaxCallSendMsgSize(MaxMessage),
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -25,8 +25,6 @@
 	comeBackSpread = 350 * time.Millisecond
 	// comeBackPart is the part of the time left that a client waits at most.
 	comeBackPart = 3
-	// answerRoom is what a message of a link holds beside an answer's body.
-	answerRoom = 256 << 10
 )
 
 // call is one request that this node sees through, from its client to the
