A load that says leaving holds until the next one, not for good

Cause: a node's frames come on two links; an old heartbeat that said 'takes no work' could arrive after the record that said it does, and the upstream was then left out until its next change of state. Seen once in three runs of the sidecar's tests beside a busy machine ('in vain: vm-17 serves /near/1', 'vm-9 serves /near/1', 'vm-6 serves /far/1'); the nodes' own logs, which tests now show on failure, had the two lines in that order. Ruled out: the order of records (mended before, its test passes), the link (up 6 ms before), the record in the store.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,6 +31,7 @@
 	InFlight, Waiting, Slots int
 	// Latency is of the kind that was asked for; 0 is unknown.
 	Latency time.Duration
+	// Leaving says that the upstream takes no work now.
 	Leaving bool
 	Cold    bool
 }
@@ -102,6 +103,7 @@
 		f.all[u.VM] = e
 	}
 	e.Upstream = u
+	e.load.Leaving = false
 }
 
 // Remove forgets a VM.
@@ -139,9 +141,6 @@
 	if load.Slots > 0 {
 		e.Slots = load.Slots
 	}
-	if load.Leaving {
-		e.Ready = false
-	}
 }
 
 // Done takes in how an attempt ended.
@@ -181,4 +180,7 @@
 	return known, usable
 }
 
-func (e *entry) usable() bool { return e.linked && e.Ready }
+// usable reports whether requests can be sent. A load that says "leaving" holds
+// until the next one: loads of one node come on several ways, and an old one
+// may be the last to arrive.
+func (e *entry) usable() bool { return e.linked && e.Ready && !e.load.Leaving }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -96,6 +96,31 @@
 	}
 }
 
+func TestOldLoadThatSaysLeavingHoldsUntilTheNext(t *testing.T) {
+	f := newFleet()
+	f.Remove("far")
+	usable := func() bool {
+		c, ok := f.Pick(epoch, Query{Service: "span"})
+		if ok {
+			f.Done(epoch, c, Result{Verdict: contract.Ran})
+		}
+		return ok
+	}
+	f.Heard("near", Load{Slots: 10, Leaving: true}) // from before it was ready
+	if usable() {
+		t.Fatal("chosen although its newest load says that it leaves")
+	}
+	f.Heard("near", Load{Slots: 10})
+	if !usable() {
+		t.Fatal("never chosen again after an old load that said leaving")
+	}
+	f.Heard("near", Load{Slots: 10, Leaving: true})
+	f.Put(Upstream{VM: "near", Service: "span", Datacentre: "west", Instance: "i-near", Slots: 10, Ready: true})
+	if !usable() {
+		t.Fatal("not chosen although its node says that it is ready")
+	}
+}
+
 func TestAnotherStartBeginsAfresh(t *testing.T) {
 	f := newFleet()
 	f.Heard("near", Load{InFlight: 10, Waiting: 10, Slots: 10})
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -27,11 +27,36 @@
 	t       *testing.T
 	store   *fake.Store
 	address string
+	logs    *logBook
+}
+
+// logBook keeps what the nodes log, to show it where a test fails.
+type logBook struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBook) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBook) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
 }
 
 func newWorld(t *testing.T) *world {
 	t.Helper()
-	w := &world{t: t, store: fake.New()}
+	w := &world{t: t, store: fake.New(), logs: &logBook{}}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(w.logs)
+		}
+	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -137,7 +162,7 @@
 func (m *vm) run() {
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop, m.done = stop, make(chan error, 1)
-	n := New(m.cfg, slog.New(slog.NewJSONHandler(io.Discard, nil)))
+	n := New(m.cfg, slog.New(slog.NewJSONHandler(m.w.logs, nil)).With("at", m.cfg.VM))
 	done := m.done
 	go func() { done <- n.Run(ctx) }()
 }
