Bad input: one end of a body, and bounded lines about connections

Cause: a request with both a length and chunks was taken (its body by the chunks); the HTTP library wrote unbounded text to standard error about connections. TestBadInputIsAnsweredAtOnceAndNotPassedOn fails before ('length and chunks: status 200'), passes after: 400, connection closed, nothing passed on. Eight kinds of bad input and a hidden request are played.

--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -144,3 +144,16 @@
 	}
 	return text + "\n"
 }
+
+// HasTwoLengths reports whether a request gives both a length and chunks. What
+// reads one of them sees another end of the body than what reads the other.
+func HasTwoLengths(h *fasthttp.RequestHeader) bool {
+	length, chunks := false, false
+	for line := range bytes.Lines(h.RawHeaders()) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		name = bytes.TrimSpace(name)
+		length = length || bytes.EqualFold(name, []byte("Content-Length"))
+		chunks = chunks || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+	}
+	return length && chunks
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -42,6 +42,8 @@
 	HeaderBytes int
 	// IdleTimeout closes connections without requests; 0: 90 s.
 	IdleTimeout time.Duration
+	// Log is told of connections that end by an error; nil: standard error.
+	Log fasthttp.Logger
 }
 
 // New returns a server that hands each request to handle.
@@ -61,6 +63,7 @@
 		WriteTimeout:                 writeTimeout,
 		IdleTimeout:                  o.IdleTimeout,
 		ReadBufferSize:               o.HeaderBytes,
+		Logger:                       o.Log,
 		NoDefaultServerHeader:        true,
 		ReduceMemoryUsage:            true,
 		NoDefaultDate:                true,
--- /dev/null
+++ b/internal/sidecar/badinput_test.go
@@ -0,0 +1,63 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestBadInputIsAnsweredAtOnceAndNotPassedOn sends what no proper client sends.
+func TestBadInputIsAnsweredAtOnceAndNotPassedOn(t *testing.T) {
+	t.Parallel()
+	_, near, _ := pair(t)
+	const head = "GET /near/1 HTTP/1.1\r\nHost: h\r\n"
+	cases := []struct{ name, text string }{
+		{"no request", "\x16\x03\x01 hello\r\n\r\n"},
+		{"head over the limit", head + "X: " + strings.Repeat("x", 2*headBytes) + "\r\n\r\n"},
+		{"two lengths", "POST /near/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde"},
+		{"length and chunks", "POST /near/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+		{"length that is none", "POST /near/1 HTTP/1.1\r\nHost: h\r\nContent-Length: many\r\n\r\n"},
+		{"broken chunk", "POST /near/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n"},
+		{"deadline that is none", head + "Heathershed-Deadline-Remaining-Ms: soon\r\n\r\n"},
+		{"attempt id without end", head + "Heathershed-Attempt-Id: " + strings.Repeat("a", 5000) + "\r\n\r\n"},
+	}
+	for _, c := range cases {
+		before := near.up.ran.Load()
+		conn := dial(t, near.cfg.Clients)
+		_ = conn.SetDeadline(time.Now().Add(patience))
+		_, _ = io.WriteString(conn, c.text)
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		status := "closed"
+		if err == nil {
+			status = fmt.Sprint(answer.StatusCode)
+		}
+		if err == nil && (answer.StatusCode < 400 || answer.StatusCode >= 500) {
+			t.Errorf("%s: status %s, want 4xx", c.name, status)
+		}
+		if near.up.ran.Load() != before {
+			t.Errorf("%s: passed on to the upstream, status %s", c.name, status)
+		}
+	}
+}
+
+// TestSmuggledRequestIsNotRun hides a request in the body of another.
+func TestSmuggledRequestIsNotRun(t *testing.T) {
+	t.Parallel()
+	_, near, _ := pair(t)
+	seen := make(chan string, 10)
+	near.up.set(func(_ http.ResponseWriter, r *http.Request) { seen <- r.RequestURI })
+	inner := "GET /near/hidden HTTP/1.1\r\nHost: h\r\n\r\n"
+	conn := dial(t, near.cfg.Clients)
+	fmt.Fprintf(conn, "POST /near/open HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", len(inner), inner)
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	if _, err := io.ReadAll(conn); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-seen; got != "/near/open" || len(seen) > 0 {
+		t.Fatalf("upstream ran %q and %d more", got, len(seen))
+	}
+}
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -89,6 +89,10 @@
 	if err != nil {
 		return c, refuse(contract.ReasonBadRequest, err.Error())
 	}
+	if front.HasTwoLengths(&rc.Request.Header) {
+		rc.SetConnectionClose()
+		return c, refuse(contract.ReasonBadRequest, "both a length and chunks")
+	}
 	table := n.table.Load()
 	if table == nil {
 		return c, refuse(contract.ReasonNoUpstream, "no configuration is known yet")
--- a/internal/sidecar/logs.go
+++ b/internal/sidecar/logs.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"fmt"
+	"log/slog"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,6 +18,19 @@
 // serverError is the first status that says that an upstream failed.
 const serverError = 500
 
+// connLog writes what the HTTP library says of connections as one message, so
+// that it is bounded like the others.
+type connLog struct{ log *slog.Logger }
+
+// maxConnError bounds the text of such a line, in bytes.
+const maxConnError = 300
+
+// Printf implements fasthttp.Logger.
+func (l connLog) Printf(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	l.log.Warn("bad input", "err", text[:min(len(text), maxConnError)])
+}
+
 // endedWell reports whether the upstream answered and did not fail.
 func endedWell(reply *linkpb.CallReply) bool {
 	return contract.Verdict(reply.Verdict) == contract.Ran && reply.Status < serverError
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -116,9 +116,9 @@
 	n.grace.Store(int64(cfg.Grace))
 	n.target = newTarget(n)
 	n.peers = newPeers(n)
-	n.front = front.NewWith(front.Options{HeaderBytes: headBytes, IdleTimeout: clientIdle}, n.serveClient)
-	n.ready = &fasthttp.Server{Handler: n.serveReady, NoDefaultServerHeader: true}
-	n.heartbeats = &fasthttp.Server{Handler: n.serveHeartbeat, NoDefaultServerHeader: true}
+	n.front = front.NewWith(front.Options{HeaderBytes: headBytes, IdleTimeout: clientIdle, Log: connLog{log}}, n.serveClient)
+	n.ready = &fasthttp.Server{Handler: n.serveReady, NoDefaultServerHeader: true, Logger: connLog{log}}
+	n.heartbeats = &fasthttp.Server{Handler: n.serveHeartbeat, NoDefaultServerHeader: true, Logger: connLog{log}}
 	n.scrapes = &http.Server{Handler: n.metrics.handler(), ReadHeaderTimeout: scrapeTimeout}
 	n.server = link.NewServer(n, &n.traffic)
 	return n
