--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -2,8 +2,10 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	linkpb "heathershed/api/link"
@@ -14,6 +16,13 @@
 // documentRoutes names the configuration on links.
 const documentRoutes = "routes"
 
+const (
+	// fetchAfter is how long a node waits for its own watch before it asks
+	// another node, and for that one's answer; fetchSpread varies it.
+	fetchAfter  = 100 * time.Millisecond
+	fetchSpread = 200 * time.Millisecond
+)
+
 // peers are the other nodes: what their records and their own frames say.
 type peers struct {
 	n *Node
@@ -23,6 +32,8 @@
 	sessions map[*link.Session]uint64  // own sequence told last
 	// down is since when no link to a known node is up.
 	down map[string]time.Time
+	// fetching is set while a configuration is asked for.
+	fetching atomic.Bool
 }
 
 func newPeers(n *Node) *peers {
@@ -270,13 +281,31 @@
 	s.Send(f)
 }
 
-// fetchNewer asks for a configuration that is newer than the one in force.
+// fetchNewer asks for a configuration that is newer than the one in force: one
+// node at a time, and not before the own watch has had its time to bring it. A
+// change is known at all nodes at once; were each to ask each, the answers
+// would grow with the square of their number.
 func (n *Node) fetchNewer(s *link.Session, have *linkpb.Have) {
 	version := have.GetCatalogueVersion()
-	if t := n.table.Load(); version == 0 || (t != nil && t.Version >= version) {
+	if !n.lacks(version) || !n.peers.fetching.CompareAndSwap(false, true) {
 		return
 	}
-	f := n.frame()
-	f.FetchDocuments = []string{documentRoutes}
-	s.Send(f)
+	delay := fetchAfter + rand.N(fetchSpread)
+	if n.table.Load() == nil {
+		delay = 0
+	}
+	time.AfterFunc(delay, func() {
+		if n.lacks(version) {
+			f := n.frame()
+			f.FetchDocuments = []string{documentRoutes}
+			s.Send(f)
+		}
+		time.AfterFunc(fetchAfter, func() { n.peers.fetching.Store(false) })
+	})
+}
+
+// lacks reports whether a version is newer than the one in force.
+func (n *Node) lacks(version uint64) bool {
+	t := n.table.Load()
+	return version > 0 && (t == nil || t.Version < version)
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -225,3 +226,49 @@
 		t.Fatalf("status %d, Retry-After %q, ready %v", a.status, a.again, m.ready())
 	}
 }
+
+// TestChangeIsNotFetchedFromEveryNode counts what a change of a large
+// configuration sends over the links of several nodes.
+func TestChangeIsNotFetchedFromEveryNode(t *testing.T) {
+	t.Parallel()
+	const nodes = 6
+	w := newWorld(t)
+	w.configure(1, "near")
+	all := make([]*vm, nodes)
+	for i := range all {
+		all[i] = w.start("near")
+	}
+	for _, m := range all {
+		w.until("it listens", func() bool { return m.ready() })
+		m.beat("near", "ready")
+	}
+	w.until("all are linked to all", func() bool {
+		for _, m := range all {
+			if _, usable := m.node.fleet.Counts(); usable < nodes {
+				return false
+			}
+		}
+		return true
+	})
+	services := []string{"near"}
+	for i := range 200 {
+		services = append(services, fmt.Sprint("added-", i))
+	}
+	before := uint64(0)
+	for _, m := range all {
+		before += m.node.traffic.Read().SentBytes
+	}
+	w.configure(2, services...)
+	for _, m := range all {
+		w.until("the change is in force", func() bool { return m.node.table.Load().Version == 2 })
+	}
+	time.Sleep(500 * time.Millisecond)
+	size := uint64(len(all[0].node.table.Load().raw))
+	sent := uint64(0)
+	for _, m := range all {
+		sent += m.node.traffic.Read().SentBytes
+	}
+	if sent -= before; sent > nodes*size {
+		t.Fatalf("%d bytes sent over the links for a change of %d, want at most one copy a node", sent, size)
+	}
+}
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -126,6 +126,7 @@
 	w    *world
 	up   *backEnd
 	cfg  *settings.Sidecar
+	node *Node
 	stop context.CancelFunc
 	done chan error
 	seq  int
@@ -163,6 +164,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop, m.done = stop, make(chan error, 1)
 	n := New(m.cfg, slog.New(slog.NewJSONHandler(m.w.logs, nil)).With("at", m.cfg.VM))
+	m.node = n
 	done := m.done
 	go func() { done <- n.Run(ctx) }()
 }
