--- a/internal/node/send.go
+++ b/internal/node/send.go
@@ -72,7 +72,7 @@
 func (n *Node) attempt(ctx context.Context, c *call, number int, tried [maxExclude]string, role linkpb.OrderRole) (*linkpb.CallReply, string) {
 	began := time.Now()
 	n.demand.service(began, c.kind.Service)
-	choice, reason := n.router.Pick(began, routing.Query{
+	choice, reason := n.pick(ctx, routing.Query{
 		Service: c.kind.Service,
 		Order:   c.kind.IsOrder(),
 		Exclude: tried,
@@ -89,6 +89,18 @@
 	return reply, choice.Target.VM
 }
 
+// pick chooses an upstream. Where the service was first used so lately that its
+// upstreams may not be known yet, it waits a little for one.
+func (n *Node) pick(ctx context.Context, q routing.Query) (routing.Choice, contract.Reason) {
+	for {
+		now := time.Now()
+		choice, reason := n.router.Pick(now, q)
+		if reason != contract.ReasonNoUpstream || !n.demand.opening(now, q.Service) || !sleep(ctx, linkPoll) {
+			return choice, reason
+		}
+	}
+}
+
 // awaitOpening waits a little for the link to a chosen VM where the service was
 // first used so lately that the link is still on its way.
 func (n *Node) awaitOpening(ctx context.Context, service, vm string) {
