--- a/internal/sidecar/badinput_test.go
+++ b/internal/sidecar/badinput_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"heathershed/platform/platformtest"
 )
 
 // TestBadInputIsAnsweredAtOnceAndNotPassedOn sends what no proper client sends.
@@ -22,8 +24,8 @@
 		{"length and chunks", "POST /near/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
 		{"length that is none", "POST /near/1 HTTP/1.1\r\nHost: h\r\nContent-Length: many\r\n\r\n"},
 		{"broken chunk", "POST /near/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n"},
-		{"deadline that is none", head + "Heathershed-Deadline-Remaining-Ms: soon\r\n\r\n"},
-		{"attempt id without end", head + "Heathershed-Attempt-Id: " + strings.Repeat("a", 5000) + "\r\n\r\n"},
+		{"deadline that is none", head + platformtest.HeaderRemaining + ": soon\r\n\r\n"},
+		{"attempt id without end", head + platformtest.HeaderAttempt + ": " + strings.Repeat("a", 5000) + "\r\n\r\n"},
 	}
 	for _, c := range cases {
 		before := near.up.ran.Load()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"heathershed/internal/platform/fake"
+	"heathershed/platform/platformtest"
 )
 
 // pair starts two nodes of services "near" and "far" that know each other.
@@ -31,7 +32,7 @@
 	_, near, far := pair(t)
 	var path, caller, instance string
 	far.up.set(func(rw http.ResponseWriter, r *http.Request) {
-		path, caller, instance = r.RequestURI, r.Header.Get("Heathershed-Caller-Service"), r.Header.Get("Heathershed-Expected-Instance")
+		path, caller, instance = r.RequestURI, r.Header.Get(platformtest.HeaderCaller), r.Header.Get(platformtest.HeaderExpected)
 		_, _ = io.WriteString(rw, strings.Repeat("x", 300_000))
 	})
 	a := near.ask("GET", "/far//a%2Fb/?q=1&q=2", nil)
@@ -95,7 +96,7 @@
 	t.Parallel()
 	_, near, far := pair(t)
 	far.up.set(func(rw http.ResponseWriter, _ *http.Request) {
-		rw.Header().Set("Heathershed-Not-Executed", "1")
+		rw.Header().Set(platformtest.HeaderNotExecuted, "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 	})
 	if a := near.ask("POST", "/far-order/1", nil); a.status != http.StatusServiceUnavailable || a.again == "" || a.seal != "" {
@@ -151,7 +152,7 @@
 		close(ended)
 	})
 	conn := dial(t, near.cfg.Clients)
-	_, _ = io.WriteString(conn, "GET /far/1 HTTP/1.1\r\nHost: h\r\nHeathershed-Attempt-Id: leaving\r\n\r\n")
+	_, _ = io.WriteString(conn, "GET /far/1 HTTP/1.1\r\nHost: h\r\n"+platformtest.HeaderAttempt+": leaving\r\n\r\n")
 	<-began
 	closed := time.Now()
 	_ = conn.Close()
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -17,6 +18,7 @@
 	"heathershed/internal/platform/standin"
 	"heathershed/internal/settings"
 	"heathershed/platform"
+	"heathershed/platform/platformtest"
 )
 
 // patience bounds every wait for something that must happen.
@@ -72,21 +74,12 @@
 // lookups and a route /NAME-order/ of orders.
 func (w *world) configure(version int, services ...string) {
 	w.t.Helper()
-	var b bytes.Buffer
-	fmt.Fprintf(&b, `{"version":%d,"resources":[`, version)
-	for _, s := range services {
-		for suffix, kind := range map[string]string{"": "idempotent", "-order": "non_idempotent"} {
-			fmt.Fprintf(&b, `{"resourceKind":"routes","metadata":{"name":"%s%s"},"spec":{"host":"h","pathPrefix":"/%s%s/","routeType":"%s","timeout":"3s","sloLatency":"2s","priority":0,"service":"%s","maxAttempts":2}},`,
-				s, suffix, s, suffix, kind, s)
-		}
-	}
-	b.WriteString(`{"resourceKind":"limits","metadata":{},"spec":{"maxBodyBytes":1000}}]}`)
 	objects := platform.NewObjects(w.address)
 	old, err := objects.Get(w.t.Context(), platform.ConfigKind, platform.ConfigName)
 	if err != nil {
 		old = platform.Object{Name: platform.ConfigName}
 	}
-	if _, err := objects.Put(w.t.Context(), platform.ConfigKind, platform.Object{Name: old.Name, Revision: old.Revision, Spec: b.Bytes()}); err != nil {
+	if _, err := objects.Put(w.t.Context(), platform.ConfigKind, platform.Object{Name: old.Name, Revision: old.Revision, Spec: []byte(platformtest.Config(version, services...))}); err != nil {
 		w.t.Fatal(err)
 	}
 }
@@ -107,8 +100,8 @@
 
 // ServeHTTP checks that it is meant, as the platform's upstreams do.
 func (u *backEnd) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	if r.Header.Get("Heathershed-Expected-Instance") != u.id {
-		rw.Header().Set("Heathershed-Instance-Id", u.id)
+	if r.Header.Get(platformtest.HeaderExpected) != u.id {
+		rw.Header().Set(platformtest.HeaderInstance, u.id)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -116,8 +109,8 @@
 	u.mu.Lock()
 	handle := u.handle
 	u.mu.Unlock()
-	rw.Header().Set("Heathershed-Attempt-Id", r.Header.Get("Heathershed-Attempt-Id"))
-	rw.Header().Set("Heathershed-Response-Seal", "seal-"+u.id)
+	rw.Header().Set(platformtest.HeaderAttempt, r.Header.Get(platformtest.HeaderAttempt))
+	rw.Header().Set(platformtest.HeaderSeal, "seal-"+u.id)
 	handle(rw, r)
 }
 
@@ -184,9 +177,8 @@
 func (m *vm) beat(service, state string) {
 	m.w.t.Helper()
 	m.seq++
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"west","version":"v1","capacity":4,"state":%q,"warmupLeft":"0ms","seq":%d}`,
-		service, m.up.address, state, m.seq)
-	resp, err := http.Post("http://"+m.cfg.Heartbeats+"/v1/Instances.Heartbeat/"+m.up.id, "application/json", bytes.NewBufferString(body))
+	body := platformtest.Heartbeat(service, m.up.address, state, m.seq)
+	resp, err := http.Post("http://"+m.cfg.Heartbeats+platformtest.HeartbeatPath(m.up.id), "application/json", strings.NewReader(body))
 	if err != nil {
 		m.w.t.Fatal(err)
 	}
@@ -221,15 +213,15 @@
 		return answer{err: err}
 	}
 	req.Host = "h"
-	req.Header.Set("Heathershed-Attempt-Id", fmt.Sprint("a-", attemptNumber.Add(1)))
-	req.Header.Set("Heathershed-Deadline-Remaining-Ms", "2500")
+	req.Header.Set(platformtest.HeaderAttempt, fmt.Sprint("a-", attemptNumber.Add(1)))
+	req.Header.Set(platformtest.HeaderRemaining, "2500")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return answer{err: err}
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
-	return answer{resp.StatusCode, string(text), resp.Header.Get("Heathershed-Response-Seal"), resp.Header.Get("Retry-After"), err}
+	return answer{resp.StatusCode, string(text), resp.Header.Get(platformtest.HeaderSeal), resp.Header.Get("Retry-After"), err}
 }
 
 // until waits for a condition.
