--- a/internal/explain/text.go
+++ b/internal/explain/text.go
@@ -13,10 +13,11 @@
 	for _, l := range s.Lines {
 		text += fmt.Sprintf("%8.3f s  %-24s %s\n", l.Time.Sub(s.Lines[0].Time).Seconds(), l.At, l.describe())
 	}
-	text += "cause: none is logged\n"
+	cause := "none is logged"
 	if s.Cause != nil {
-		text = text[:len(text)-len("cause: none is logged\n")] + "cause: " + s.Cause.explain() + "\n"
+		cause = s.Cause.explain()
 	}
+	text += "cause: " + cause + "\n"
 	if s.LeftOut > 0 {
 		text += fmt.Sprintf("the logs leave out %d lines; some may be of this request\n", s.LeftOut)
 	}
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -76,13 +76,13 @@
 // and reads once more: of two nodes that start together, the one that reads
 // later finds the other.
 func (d *recordDuty) first(ctx context.Context) {
-	d.until(ctx, func() bool { return d.list(ctx, false) })
+	d.until(ctx, func() bool { return d.list(ctx) })
 	if !d.known {
 		d.awaitBeat(ctx)
 	}
 	if d.own() != d.written {
 		d.write(ctx)
-		d.until(ctx, func() bool { return d.list(ctx, false) })
+		d.until(ctx, func() bool { return d.list(ctx) })
 	}
 	d.n.listed.Store(true)
 }
@@ -176,20 +176,24 @@
 	}
 }
 
-// list reads all records and reports whether it could.
-func (d *recordDuty) list(ctx context.Context, stale bool) bool {
+// read returns all records; stale ones may be seconds old.
+func (d *recordDuty) read(ctx context.Context, stale bool) ([]platform.Object, error) {
 	began := time.Now()
 	objects, _, err := d.n.objects.List(ctx, recordKind, stale)
 	d.n.called(callList, began, err)
+	return objects, err
+}
+
+// list takes in all records and reports whether it could read them.
+func (d *recordDuty) list(ctx context.Context) bool {
+	objects, err := d.read(ctx, false)
 	if err != nil {
 		return false
 	}
 	for _, o := range objects {
 		if o.Name == d.n.cfg.VM {
-			if !stale {
-				d.take(o)
-				d.expect()
-			}
+			d.take(o)
+			d.expect()
 			continue
 		}
 		d.learn(o)
@@ -201,9 +205,7 @@
 // of, writes the own record again where it is missing, and removes those of
 // nodes that are gone.
 func (d *recordDuty) look(ctx context.Context) {
-	began := time.Now()
-	objects, _, err := d.n.objects.List(ctx, recordKind, true)
-	d.n.called(callList, began, err)
+	objects, err := d.read(ctx, true)
 	if err != nil {
 		return
 	}
