Node: links to a subset of each service, one timer for all sessions

Cause: every node held two connections to every other one.

Ruled out first: the call path. BenchmarkCall has 6 reads, 5 writes and one wait of the network for a request over both nodes, its caller and its upstream, no single function above 5% of the time; nothing there is to be had at once.

One timer per process asks the detectors of all sessions, not one timer a session. The fleet keeps its upstreams by service.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -39,8 +39,8 @@
 	random := q.Random
 	var best *entry
 	var lowest float64
-	for _, e := range f.all {
-		if e.Service != q.Service || !e.usable() || slices.Contains(q.Exclude, e.VM) {
+	for _, e := range f.services[q.Service] {
+		if !e.usable() || slices.Contains(q.Exclude, e.VM) {
 			continue
 		}
 		random = spread(random)
@@ -64,8 +64,8 @@
 func (f *Fleet) usual(q Query) time.Duration {
 	var sum time.Duration
 	known := 0
-	for _, e := range f.all {
-		if l := e.latency[q.Kind]; e.Service == q.Service && l > 0 {
+	for _, e := range f.services[q.Service] {
+		if l := e.latency[q.Kind]; l > 0 {
 			sum += l
 			known++
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,7 @@
 package fleet
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -79,13 +80,18 @@
 type Fleet struct {
 	datacentre string
 
-	mu  sync.Mutex
-	all map[string]*entry // by VM
+	mu       sync.Mutex
+	all      map[string]*entry   // by VM
+	services map[string][]*entry // by service
 }
 
 // New returns the empty fleet of a node in a data centre.
 func New(datacentre string) *Fleet {
-	return &Fleet{datacentre: datacentre, all: make(map[string]*entry)}
+	return &Fleet{
+		datacentre: datacentre,
+		all:        make(map[string]*entry),
+		services:   make(map[string][]*entry),
+	}
 }
 
 // Put takes in an upstream as its node announces it. What was known of another
@@ -99,8 +105,10 @@
 		if e != nil {
 			fresh.linked = e.linked
 		}
+		f.drop(u.VM)
 		e = fresh
 		f.all[u.VM] = e
+		f.services[u.Service] = append(f.services[u.Service], e)
 	}
 	e.Upstream = u
 	e.load.Leaving = false
@@ -110,7 +118,17 @@
 func (f *Fleet) Remove(vm string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.drop(vm)
+}
+
+// drop takes a VM out of both indexes.
+func (f *Fleet) drop(vm string) {
+	e := f.all[vm]
+	if e == nil {
+		return
+	}
 	delete(f.all, vm)
+	f.services[e.Service] = slices.DeleteFunc(f.services[e.Service], func(o *entry) bool { return o == e })
 }
 
 // Linked takes in whether calls can be sent to a VM.
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -54,6 +54,7 @@
 	linkpb.UnimplementedLinkServer
 	handler Handler
 	traffic *Traffic
+	pulse   *pulse
 	grpc    *grpc.Server
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -67,7 +68,12 @@
 // NewServer returns a server that serves calls by h and counts control frames
 // in t.
 func NewServer(h Handler, t *Traffic) *Server {
-	s := &Server{handler: h, traffic: t, sessions: make(map[string]*Session)}
+	s := &Server{
+		handler:  h,
+		traffic:  t,
+		pulse:    newPulse(),
+		sessions: make(map[string]*Session),
+	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.grpc = grpc.NewServer(
 		grpc.MaxRecvMsgSize(MaxMessage),
@@ -82,7 +88,10 @@
 }
 
 // Serve accepts links until Shutdown.
-func (s *Server) Serve(ln net.Listener) error { return s.grpc.Serve(ln) }
+func (s *Server) Serve(ln net.Listener) error {
+	go s.pulse.run(s.ctx)
+	return s.grpc.Serve(ln)
+}
 
 // Call implements linkpb.LinkServer.
 func (s *Server) Call(ctx context.Context, req *linkpb.CallRequest) (*linkpb.CallReply, error) {
@@ -102,6 +111,7 @@
 	defer stop()
 	session := newSession(s.handler, s.traffic, stream, false)
 	defer s.enter(ctx, session)()
+	defer s.pulse.enter(session)()
 	_ = session.run(ctx, func(Peer) bool { return true }, func() {})
 	if s.ctx.Err() != nil {
 		return nil // a planned stop: the other end lets its calls finish
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -13,12 +13,8 @@
 	"heathershed/internal/ring"
 )
 
-const (
-	// outRing bounds the frames that wait to be sent on one session.
-	outRing = 64
-	// tickEvery is how often a session looks at its detector.
-	tickEvery = 250 * time.Millisecond
-)
+// outRing bounds the frames that wait to be sent on one session.
+const outRing = 64
 
 // errSilent ends a session whose other end gave no sign of life.
 var errSilent = errors.New("link: silent")
@@ -40,6 +36,8 @@
 	out     *ring.Ring[*linkpb.ControlFrame]
 	dialled bool
 	traffic *Traffic
+	// due and silent have one pending signal when the detector says so.
+	due, silent chan struct{}
 
 	mu       sync.Mutex
 	detector *liveness.Detector
@@ -63,6 +61,8 @@
 		out:      ring.New[*linkpb.ControlFrame](outRing),
 		dialled:  dialled,
 		traffic:  t,
+		due:      make(chan struct{}, 1),
+		silent:   make(chan struct{}, 1),
 		detector: liveness.New(liveness.Config{Passive: !dialled}, time.Now()),
 	}
 }
@@ -139,8 +139,6 @@
 }
 
 func (s *Session) sendLoop(ctx context.Context, received <-chan error) error {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
 	err := s.transmit(s.handler.Heartbeat(s))
 	for err == nil {
 		select {
@@ -150,8 +148,10 @@
 			return err
 		case f := <-s.out.Out():
 			err = s.transmit(f)
-		case <-ticker.C:
-			err = s.tick()
+		case <-s.due:
+			err = s.transmit(s.handler.Heartbeat(s))
+		case <-s.silent:
+			return errSilent
 		}
 	}
 	if errors.Is(err, io.EOF) { // the stream has ended; the receiver knows why
@@ -160,19 +160,24 @@
 	return err
 }
 
-func (s *Session) tick() error {
-	now := time.Now()
+// tick looks at the detector and signals what it says.
+func (s *Session) tick(now time.Time) {
 	s.mu.Lock()
-	silent := s.detector.Silent(now)
-	due := s.detector.Due(now)
-	s.mu.Unlock()
-	if silent {
-		return errSilent
+	defer s.mu.Unlock()
+	if s.detector.Silent(now) {
+		signal(s.silent)
 	}
-	if !due {
-		return nil
+	if s.detector.Due(now) {
+		signal(s.due)
+	}
+}
+
+// signal leaves one pending signal.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
 	}
-	return s.transmit(s.handler.Heartbeat(s))
 }
 
 // transmit stamps and sends a frame. Frames are shared between sessions, so
--- a/internal/link/set.go
+++ b/internal/link/set.go
@@ -49,6 +49,7 @@
 	dial    Dialer
 	group   *errgroup.Group
 	ctx     context.Context
+	pulse   *pulse
 
 	mu    sync.RWMutex
 	links map[string]*link
@@ -70,7 +71,20 @@
 // NewSet returns an empty set whose duties run until ctx ends; group waits for
 // them, t counts control frames.
 func NewSet(ctx context.Context, group *errgroup.Group, h Handler, t *Traffic, dial Dialer) *Set {
-	return &Set{handler: h, traffic: t, dial: dial, group: group, ctx: ctx, links: make(map[string]*link)}
+	s := &Set{
+		handler: h,
+		traffic: t,
+		dial:    dial,
+		group:   group,
+		ctx:     ctx,
+		pulse:   newPulse(),
+		links:   make(map[string]*link),
+	}
+	group.Go(func() error {
+		s.pulse.run(ctx)
+		return nil
+	})
+	return s
 }
 
 // Want makes the set hold links to exactly these targets. Links to others are
@@ -189,10 +203,7 @@
 	if l == nil {
 		return
 	}
-	select {
-	case l.kick <- struct{}{}:
-	default:
-	}
+	signal(l.kick)
 }
 
 // connect opens one connection and runs its session to the end.
@@ -211,6 +222,7 @@
 	}
 	timeout := time.AfterFunc(openTimeout, cancel)
 	session := newSession(s.handler, s.traffic, control, true)
+	leave := s.pulse.enter(session)
 	err = session.run(ctx, func(p Peer) bool {
 		if !timeout.Stop() || !l.is(p) {
 			return false
@@ -218,6 +230,7 @@
 		l.set(session, client)
 		return true
 	}, func() { l.set(nil, nil) })
+	leave()
 	timeout.Stop()
 	if planned(err) || ctx.Err() != nil {
 		l.finish()
--- /dev/null
+++ b/internal/sidecar/load_test.go
@@ -0,0 +1,56 @@
+package sidecar
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"heathershed/platform/platformtest"
+)
+
+// benchCallers is how many requests are under way at once in BenchmarkCall.
+const benchCallers = 8
+
+// BenchmarkCall measures what one request through two nodes costs: the sum of
+// processor time of both nodes, the caller and the upstream.
+func BenchmarkCall(b *testing.B) {
+	w := newWorld(b)
+	w.configure(1, "near", "far")
+	near, far := w.start("near"), w.start("far")
+	w.until("both ready", func() bool { return near.ready() && far.ready() })
+	near.beat("near", "ready")
+	far.beat("far", "ready")
+	near.serves("/far/1")
+	client := &fasthttp.HostClient{Addr: near.cfg.Clients, MaxConns: benchCallers}
+	from := processTime()
+	requests := make(chan struct{})
+	var group sync.WaitGroup
+	for range benchCallers {
+		group.Go(func() {
+			for range requests {
+				askFast(b, client)
+			}
+		})
+	}
+	for b.Loop() {
+		requests <- struct{}{}
+	}
+	close(requests)
+	group.Wait()
+	b.ReportMetric(float64((processTime()-from).Microseconds())/float64(b.N), "cpu-us/op")
+}
+
+func askFast(b *testing.B, client *fasthttp.HostClient) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://h/far/1")
+	req.Header.Set(platformtest.HeaderAttempt, time.Now().String())
+	req.Header.Set(platformtest.HeaderRemaining, "2500")
+	if err := client.Do(req, resp); err != nil || resp.StatusCode() != http.StatusOK {
+		b.Error("status ", resp.StatusCode(), ", err ", err)
+	}
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -143,6 +143,7 @@
 	group.Go(func() error { return n.heartbeats.Serve(l.heartbeats) })
 	group.Go(func() error { return n.serveScrapes(l.metrics) })
 	group.Go(func() error { return n.runConfiguration(running) })
+	group.Go(func() error { return n.peers.runLinks(running) })
 	group.Go(func() error { return n.runGauges(running) })
 	group.Go(func() error { return n.runRecord(running) })
 	group.Go(func() error {
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -21,6 +22,10 @@
 	// another node, and for that one's answer; fetchSpread varies it.
 	fetchAfter  = 100 * time.Millisecond
 	fetchSpread = 200 * time.Millisecond
+	// wantEvery is how often a node looks at which links it wants, and
+	// replaceAfter how long one is down before another is added for it.
+	wantEvery    = time.Second
+	replaceAfter = 3 * time.Second
 )
 
 // peers are the other nodes: what their records and their own frames say.
@@ -30,8 +35,10 @@
 	mu       sync.Mutex
 	members  map[string]*linkpb.Member // by VM
 	sessions map[*link.Session]uint64  // own sequence told last
-	// down is since when no link to a known node is up.
-	down map[string]time.Time
+	// wanted are the nodes to which links are wanted, and down is since when the
+	// link to one of them has not been up.
+	wanted map[string]bool
+	down   map[string]time.Time
 	// fetching is set while a configuration is asked for.
 	fetching atomic.Bool
 }
@@ -45,23 +52,32 @@
 	}
 }
 
-// learn takes in what is known of a node; the higher incarnation and sequence
+// learn takes in what is known of nodes; the higher incarnation and sequence
 // wins. A record of the object API has incarnation 0.
-func (p *peers) learn(m *linkpb.Member) {
+func (p *peers) learn(members ...*linkpb.Member) {
+	moved := false
+	for _, m := range members {
+		moved = p.learnOne(m) || moved
+	}
+	if moved {
+		p.want()
+	}
+}
+
+// learnOne reports whether a node is new or has another address.
+func (p *peers) learnOne(m *linkpb.Member) (moved bool) {
 	if m.Vm == p.n.cfg.VM || m.Vm == "" || m.Address == "" {
-		return
+		return false
 	}
 	old, took := p.take(m)
 	if !took {
-		return
+		return false
 	}
 	if old == nil || old.Incarnation != m.Incarnation || old.State != m.State || old.Instance != m.Instance {
 		p.n.log.Info("node", "vm", m.Vm, "service", m.Service, "instance", m.Instance,
 			"incarnation", m.Incarnation, "sequence", m.Sequence, "state", m.State.String())
 	}
-	if old == nil || old.Address != m.Address {
-		p.want()
-	}
+	return old == nil || old.Address != m.Address
 }
 
 // take replaces what was known of a node by something newer. The fleet hears of
@@ -74,9 +90,6 @@
 		return old, false
 	}
 	p.members[m.Vm] = m
-	if old == nil {
-		p.down[m.Vm] = time.Now()
-	}
 	p.n.fleet.Put(fleet.Upstream{
 		VM:         m.Vm,
 		Service:    m.Service,
@@ -102,24 +115,28 @@
 func (p *peers) forget(vm string) {
 	p.mu.Lock()
 	delete(p.members, vm)
-	delete(p.down, vm)
 	p.mu.Unlock()
 	p.n.fleet.Remove(vm)
 	p.want()
 }
 
-// linked takes in whether a link to a node is up.
-func (p *peers) linked(vm string, up bool) {
+// linked takes in that a link to a node has come up or gone down. A link that
+// was given up may end after the one that replaced it has come up, so the links
+// themselves say which it is.
+func (p *peers) linked(vm string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	up := p.n.links.Up(vm)
+	p.n.fleet.Linked(vm, up)
 	if up {
 		delete(p.down, vm)
-	} else if _, known := p.members[vm]; known {
+	} else if p.wanted[vm] {
 		p.down[vm] = time.Now()
 	}
 }
 
-// downFor is how long no link to a node has been up; 0 where one is.
+// downFor is how long a wanted link to a node has not been up; 0 where it is up
+// or none is wanted.
 func (p *peers) downFor(vm string) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -130,12 +147,24 @@
 	return time.Since(since)
 }
 
-// mostlyLinked reports whether links to most known nodes are up: else this node
-// is more likely cut off than they are gone.
+// unreachable returns the known nodes without a link: none is wanted, or it has
+// been down for long.
+func (p *peers) unreachable() []string {
+	var vms []string
+	for _, vm := range p.names() {
+		if !p.n.links.Wanted(vm) || p.downFor(vm) > goneAfter {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
+// mostlyLinked reports whether most wanted links are up: else this node is more
+// likely cut off than the others are gone.
 func (p *peers) mostlyLinked() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return 2*len(p.down) < len(p.members)
+	return 2*len(p.down) < len(p.wanted)
 }
 
 // names returns the known nodes.
@@ -145,18 +174,80 @@
 	return slices.Collect(maps.Keys(p.members))
 }
 
-// want asks for links to all known nodes.
+// runLinks is the duty that looks again at which links are wanted, as links go
+// down and come back.
+func (p *peers) runLinks(ctx context.Context) error {
+	ticker := time.NewTicker(wantEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			p.want()
+		}
+	}
+}
+
+// want asks for links to a subset of the known nodes.
 func (p *peers) want() {
+	now := time.Now()
 	p.mu.Lock()
-	targets := make([]link.Target, 0, len(p.members))
-	for _, m := range p.members {
-		targets = append(targets, link.Target{VM: m.Vm, Address: m.Address, Named: true})
+	defer p.mu.Unlock()
+	wanted := make(map[string]bool)
+	for _, vm := range fleet.Subset(p.n.cfg.VM, p.n.cfg.Datacentre, p.candidates(now)) {
+		wanted[vm] = true
 	}
-	p.mu.Unlock()
-	p.n.budget.setNodes(len(targets) + 1)
+	p.keepWorking(wanted)
+	p.note(now, wanted)
+	targets := make([]link.Target, 0, len(wanted))
+	for vm := range wanted {
+		targets = append(targets, link.Target{VM: vm, Address: p.members[vm].Address, Named: true})
+	}
+	p.n.budget.setNodes(len(p.members) + 1)
 	p.n.links.Want(targets)
 }
 
+// candidates are the known nodes; the caller holds the lock.
+func (p *peers) candidates(now time.Time) []fleet.Candidate {
+	all := make([]fleet.Candidate, 0, len(p.members))
+	for vm, m := range p.members {
+		since, down := p.down[vm]
+		all = append(all, fleet.Candidate{
+			VM:         vm,
+			Service:    m.Service,
+			Datacentre: m.Datacentre,
+			Down:       down && now.Sub(since) > replaceAfter,
+		})
+	}
+	return all
+}
+
+// keepWorking adds the links that are up while others are down: what a passing
+// failure has added is given up after it has ended. The caller holds the lock.
+func (p *peers) keepWorking(wanted map[string]bool) {
+	if len(p.down) == 0 {
+		return
+	}
+	for vm := range p.wanted {
+		_, down := p.down[vm]
+		if p.members[vm] != nil && !down {
+			wanted[vm] = true
+		}
+	}
+}
+
+// note keeps since when wanted links are down; the caller holds the lock.
+func (p *peers) note(now time.Time, wanted map[string]bool) {
+	for vm := range wanted {
+		if !p.wanted[vm] {
+			p.down[vm] = now
+		}
+	}
+	maps.DeleteFunc(p.down, func(vm string, _ time.Time) bool { return !wanted[vm] })
+	p.wanted = wanted
+}
+
 // Heartbeat implements link.Handler: the load and the version in force, and
 // the own record where the other end has not had it.
 func (n *Node) Heartbeat(s *link.Session) *linkpb.ControlFrame {
@@ -231,8 +322,7 @@
 	n.peers.mu.Unlock()
 	vm := s.Peer().VM
 	if s.Dialled() {
-		n.fleet.Linked(vm, true)
-		n.peers.linked(vm, true)
+		n.peers.linked(vm)
 		n.log.Info("link up", "vm", vm)
 		return
 	}
@@ -245,17 +335,14 @@
 	delete(n.peers.sessions, s)
 	n.peers.mu.Unlock()
 	if s.Dialled() {
-		n.fleet.Linked(s.Peer().VM, false)
-		n.peers.linked(s.Peer().VM, false)
+		n.peers.linked(s.Peer().VM)
 		n.log.Info("link lost", "vm", s.Peer().VM, "err", reason)
 	}
 }
 
 // News implements link.Handler.
 func (n *Node) News(s *link.Session, f *linkpb.ControlFrame) {
-	for _, m := range f.Members {
-		n.peers.learn(m)
-	}
+	n.peers.learn(f.Members...)
 	if f.Load != nil {
 		n.fleet.Heard(f.Vm, loadOf(f.Load))
 	}
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -194,10 +194,9 @@
 		if o.Name == d.n.cfg.VM {
 			d.take(o)
 			d.expect()
-			continue
 		}
-		d.learn(o)
 	}
+	d.learn(objects)
 	return true
 }
 
@@ -209,16 +208,16 @@
 	if err != nil {
 		return
 	}
+	d.learn(objects)
 	there := make(map[string]bool, len(objects))
 	for _, o := range objects {
 		there[o.Name] = true
 		if o.Name != d.n.cfg.VM {
-			d.learn(o)
 			d.removeGone(ctx, o)
 		}
 	}
-	for _, vm := range d.n.peers.names() {
-		if !there[vm] && d.n.peers.downFor(vm) > goneAfter {
+	for _, vm := range d.n.peers.unreachable() {
+		if !there[vm] {
 			d.n.log.Info("node forgotten", "vm", vm)
 			d.n.peers.forget(vm)
 		}
@@ -256,17 +255,24 @@
 	})
 }
 
-// learn takes in another node's record. One that can't be read is left out.
-func (d *recordDuty) learn(o platform.Object) {
-	var r record
-	if err := json.Unmarshal(o.Spec, &r); err != nil || r.VM != o.Name || r.Address == "" {
-		d.n.log.Warn("record unreadable", "name", o.Name, "revision", o.Revision, "err", err)
-		return
+// learn takes in the other nodes' records. One that can't be read is left out.
+func (d *recordDuty) learn(objects []platform.Object) {
+	members := make([]*linkpb.Member, 0, len(objects))
+	for _, o := range objects {
+		if o.Name == d.n.cfg.VM {
+			continue
+		}
+		var r record
+		if err := json.Unmarshal(o.Spec, &r); err != nil || r.VM != o.Name || r.Address == "" {
+			d.n.log.Warn("record unreadable", "name", o.Name, "revision", o.Revision, "err", err)
+			continue
+		}
+		members = append(members, &linkpb.Member{
+			Vm: r.VM, Datacentre: r.Datacentre, Address: r.Address,
+			Service: r.Service, Instance: r.Instance, Slots: uint32(r.Slots),
+		})
 	}
-	d.n.peers.learn(&linkpb.Member{
-		Vm: r.VM, Datacentre: r.Datacentre, Address: r.Address,
-		Service: r.Service, Instance: r.Instance, Slots: uint32(r.Slots),
-	})
+	d.n.peers.learn(members...)
 }
 
 // wakeRecord has the own record looked at.
--- /dev/null
+++ b/internal/sidecar/scale_test.go
@@ -0,0 +1,164 @@
+package sidecar
+
+import (
+	"fmt"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// settleTime is left to a fleet before it is measured, and restTime is how
+	// long it is measured.
+	settleTime = 3 * time.Second
+	restTime   = 5 * time.Second
+	// restServices and restDatacentres are the shape of a fleet at rest.
+	restServices    = 4
+	restDatacentres = 4
+)
+
+// BenchmarkFleetAtRest measures what control costs with several sizes of fleet
+// without any request: processor, bytes and frames on links, links, live heap
+// and calls of the store. Run it with -benchtime 1x.
+func BenchmarkFleetAtRest(b *testing.B) {
+	for _, nodes := range []int{8, 16, 32, 64, 128} {
+		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
+			for b.Loop() {
+				measureRest(b, nodes)
+			}
+		})
+	}
+}
+
+// restReading is the sum of what the nodes of a fleet have used.
+type restReading struct {
+	at     time.Time
+	cpu    time.Duration
+	bytes  uint64
+	frames uint64
+	store  uint64
+}
+
+func measureRest(b *testing.B, nodes int) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	w := newWorld(b)
+	vms := w.startFleet(nodes)
+	w.until("all links are up", func() bool { return allLinked(vms) })
+	time.Sleep(settleTime)
+	from := w.read(vms)
+	time.Sleep(restTime)
+	to := w.read(vms)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	perSecond := func(x float64) float64 { return x / to.at.Sub(from.at).Seconds() / float64(nodes) }
+	b.ReportMetric(100*perSecond((to.cpu-from.cpu).Seconds()), "core%/node")
+	b.ReportMetric(perSecond(float64(to.bytes-from.bytes)), "sent-B/s/node")
+	b.ReportMetric(perSecond(float64(to.frames-from.frames)), "sent-frames/s/node")
+	b.ReportMetric(perSecond(float64(to.store-from.store)), "store-calls/s/node")
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(nodes)/(1<<10), "heap-KiB/node")
+	b.ReportMetric(meanLinks(vms), "links/node")
+	haltAll(vms)
+}
+
+// haltAll halts nodes at the same time.
+func haltAll(vms []*vm) {
+	var group sync.WaitGroup
+	for _, m := range vms {
+		group.Go(m.halt)
+	}
+	group.Wait()
+}
+
+// startFleet starts nodes of some services, spread over some data centres, with
+// a heartbeat of each upstream.
+func (w *world) startFleet(nodes int) []*vm {
+	w.t.Helper()
+	var services []string
+	for s := range restServices {
+		services = append(services, fmt.Sprint("s", s))
+	}
+	w.configure(1, services...)
+	vms := make([]*vm, nodes)
+	for i := range vms {
+		vms[i] = w.startIn(services[i%restServices], fmt.Sprint("dc", i/restServices%restDatacentres))
+	}
+	for i, m := range vms {
+		w.until("ready", m.ready)
+		m.beat(services[i%restServices], "ready")
+	}
+	return vms
+}
+
+// TestLinksGoToASubset checks that a node of a large service holds no more links
+// than it needs, serves with them, and replaces those that are lost.
+func TestLinksGoToASubset(t *testing.T) {
+	t.Parallel()
+	const nodes, links = 18, 12
+	w := newWorld(t)
+	w.configure(1, "a")
+	vms := make([]*vm, nodes)
+	for i := range vms {
+		vms[i] = w.start("a")
+	}
+	for _, m := range vms {
+		w.until("ready", m.ready)
+		m.beat("a", "ready")
+	}
+	t.Cleanup(func() { haltAll(vms) })
+	w.until("each has its links", func() bool { return allHave(vms, links) })
+	for _, m := range vms {
+		m.serves("/a/1")
+	}
+	vms[0].halt()
+	w.until("lost links are replaced", func() bool { return allHave(vms[1:], links) })
+}
+
+// allHave reports whether each node has that many links that are up.
+func allHave(vms []*vm, links int) bool {
+	for _, m := range vms {
+		if _, up := m.node.links.Counts(); up != links {
+			return false
+		}
+	}
+	return true
+}
+
+func allLinked(vms []*vm) bool {
+	for _, m := range vms {
+		if wanted, up := m.node.links.Counts(); up < wanted || wanted == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func meanLinks(vms []*vm) float64 {
+	sum := 0
+	for _, m := range vms {
+		_, up := m.node.links.Counts()
+		sum += up
+	}
+	return float64(sum) / float64(len(vms))
+}
+
+func (w *world) read(vms []*vm) restReading {
+	counts := w.store.Counts()
+	r := restReading{at: time.Now(), cpu: processTime(), store: counts.Reads() + counts.Writes()}
+	for _, m := range vms {
+		t := m.node.traffic.Read()
+		r.bytes += t.SentBytes
+		r.frames += t.SentFrames
+	}
+	return r
+}
+
+// processTime is the processor time of this process so far.
+func processTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -26,7 +26,7 @@
 
 // world is a stand-in of the object API with nodes and upstreams on loopback.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	store   *fake.Store
 	address string
 	logs    *logBook
@@ -51,7 +51,7 @@
 	return b.text.String()
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	t.Helper()
 	w := &world{t: t, store: fake.New(), logs: &logBook{}}
 	t.Cleanup(func() {
@@ -127,9 +127,15 @@
 
 var vmNumber atomic.Int32
 
-// start starts an upstream and a node beside it, on a loopback address of
-// their own.
+// start starts an upstream and a node beside it in the data centre "west", on a
+// loopback address of their own.
 func (w *world) start(service string) *vm {
+	w.t.Helper()
+	return w.startIn(service, "west")
+}
+
+// startIn does so in any data centre.
+func (w *world) startIn(service, datacentre string) *vm {
 	w.t.Helper()
 	number := vmNumber.Add(1)
 	ip := fmt.Sprintf("127.0.%d.%d", 40+number/200, 1+number%200)
@@ -143,7 +149,7 @@
 	go func() { _ = server.Serve(l) }()
 	w.t.Cleanup(func() { _ = server.Close() })
 	m := &vm{w: w, up: up, cfg: &settings.Sidecar{
-		VM: fmt.Sprint("vm-", number), Datacentre: "west", Region: "r", Service: service,
+		VM: fmt.Sprint("vm-", number), Datacentre: datacentre, Region: "r", Service: service,
 		Clients: ip + ":7001", Link: ip + ":7002", Ready: ip + ":7003", Heartbeats: ip + ":7004", Metrics: ip + ":7005",
 		Upstream: up.address, Platform: w.address,
 		Grace: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Memory: 64 << 20,
