Soak: the sidecars as processes under faults drawn by a seed

It checks nine promises from what clients and upstreams see: doubled, false not run, partial, lost, late drain, reverted, budget, work after close, cut.

Not broken by it: links between nodes other than by pauses and kills, clocks.

--- /dev/null
+++ b/cmd/heathershed-soak/main.go
@@ -0,0 +1,92 @@
+// Command heathershed-soak runs the real programs on loopback under faults drawn
+// by a seed and prints each broken promise.
+//
+// Exit codes: 0 all promises kept, 1 a promise broken, 2 wrong use, 3 a run
+// could not be made.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"heathershed/internal/soak"
+)
+
+// Exit codes.
+const (
+	exitBroken = 1
+	exitUsage  = 2
+	exitFailed = 3
+)
+
+func main() {
+	bin := flag.String("bin", "out", "directory of the programs")
+	seed := flag.Uint64("seed", 0, "first seed; 0 takes a fresh one")
+	seeds := flag.Int("seeds", 1, "number of runs, with seeds that follow each other")
+	length := flag.Duration("length", 20*time.Second, "time in which faults begin, each run")
+	machines := flag.Int("vms", 6, "number of VMs, 3 to 200")
+	clients := flag.Int("clients", 3, "clients of each VM")
+	network := flag.String("net", "77.1", "second and third byte of the loopback addresses")
+	plan := flag.Bool("plan", false, "print the faults too")
+	flag.Parse()
+	if flag.NArg() > 0 || *machines < 3 || *machines > 200 || *seeds < 1 || *clients < 1 {
+		flag.Usage()
+		os.Exit(exitUsage)
+	}
+	if *seed == 0 {
+		*seed = uint64(time.Now().UnixMilli())
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	cfg := soak.Config{Bin: *bin, Machines: *machines, Clients: *clients, Length: *length, Net: *network}
+	os.Exit(runAll(ctx, cfg, *seed, *seeds, *plan))
+}
+
+// runAll makes the runs and returns the exit code.
+func runAll(ctx context.Context, cfg soak.Config, first uint64, seeds int, plan bool) (code int) {
+	for i := range seeds {
+		if ctx.Err() != nil {
+			break
+		}
+		cfg.Seed = first + uint64(i)
+		report, err := runOne(ctx, cfg, plan)
+		switch {
+		case err != nil:
+			fmt.Fprintf(os.Stderr, "heathershed-soak: seed %d: %v\n", cfg.Seed, err)
+			return exitFailed
+		case len(report.Violations) > 0:
+			code = exitBroken
+		}
+	}
+	return code
+}
+
+// runOne makes one run and prints what it found. The logs of a run that kept
+// all promises are removed.
+func runOne(ctx context.Context, cfg soak.Config, plan bool) (soak.Report, error) {
+	dir, err := soak.TempDir()
+	if err != nil {
+		return soak.Report{}, err
+	}
+	cfg.Dir = dir
+	report, err := soak.Run(ctx, cfg)
+	if plan {
+		for _, e := range report.Plan {
+			fmt.Println(e)
+		}
+	}
+	for _, v := range report.Violations {
+		fmt.Println(v)
+	}
+	fmt.Printf("seed %d, %d faults: %s\n", cfg.Seed, len(report.Plan), report.Summary)
+	if err != nil || len(report.Violations) > 0 {
+		fmt.Println("logs in", dir)
+		return report, err
+	}
+	return report, os.RemoveAll(dir)
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,197 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"heathershed/internal/platform/fake"
+)
+
+const (
+	// meanGap is the mean time between the beginnings of two faults; they come
+	// at random, so that some overlap and some come in series.
+	meanGap = 350 * time.Millisecond
+	// minFor and spreadFor are how long a fault lasts.
+	minFor    = 300 * time.Millisecond
+	spreadFor = 2 * time.Second
+	// leaveTime is how long an upstream goes on after it said that it leaves.
+	leaveTime = 4 * time.Second
+)
+
+// Event is one fault of a plan.
+type Event struct {
+	// At and For are since the start of the run and since At.
+	At, For time.Duration
+	Kind    string
+	// Machine is the index of the machine that it happens to.
+	Machine int
+}
+
+func (e Event) String() string {
+	return fmt.Sprintf("%8.3fs %s on %d for %v", e.At.Seconds(), e.Kind, e.Machine, e.For.Round(time.Millisecond))
+}
+
+// fault causes one kind of fault for a time.
+type fault func(r *run, m *machine, e Event)
+
+// faults are the kinds that a plan draws from.
+var faults = []struct {
+	kind  string
+	cause fault
+}{
+	{"kill", killNode},
+	{"stop", stopNode},
+	{"pause", pauseNode},
+	{"reload", reloadNode},
+	{"crash", crashUpstream},
+	{"leave", leaveUpstream},
+	{"fail", health(Failing)},
+	{"cut answers", health(Cutting)},
+	{"delay", upstreamWay(ModeDelay)},
+	{"reset", upstreamWay(ModeReset)},
+	{"silent in", upstreamWay(ModeSilentIn)},
+	{"silent out", upstreamWay(ModeSilentOut)},
+	{"store reset", storeWay(ModeReset)},
+	{"store silent", storeWay(ModeSilentOut)},
+	{"store down", storeFaults(fake.Faults{Down: true})},
+	{"store slow", storeFaults(fake.Faults{Latency: 300 * time.Millisecond})},
+	{"store lossy", storeFaults(fake.Faults{LostAnswer: 0.5, DroppedWrite: 0.2})},
+	{"store stale", storeFaults(fake.Faults{StaleRead: 0.5, StaleBy: time.Second, RepeatEvent: 0.5})},
+}
+
+// NewPlan draws the faults of a run.
+func NewPlan(seed uint64, machines int, length time.Duration) []Event {
+	random := rand.New(rand.NewPCG(seed, 1))
+	var plan []Event
+	for at := time.Duration(0); ; {
+		at += time.Duration(random.ExpFloat64() * float64(meanGap))
+		if at > length {
+			return plan
+		}
+		plan = append(plan, Event{
+			At:      at,
+			For:     minFor + time.Duration(random.Int64N(int64(spreadFor))),
+			Kind:    faults[random.IntN(len(faults))].kind,
+			Machine: random.IntN(machines),
+		})
+	}
+}
+
+func causeOf(kind string) fault {
+	for _, f := range faults {
+		if f.kind == kind {
+			return f.cause
+		}
+	}
+	return nil
+}
+
+// last waits for the length of the fault.
+func (r *run) last(d time.Duration) { pause(r.ctx, d) }
+
+// restart runs end, starts the node again after the fault's time and waits until
+// it is ready. It does nothing where the machine is being changed already.
+func (r *run) restart(m *machine, e Event, end func()) {
+	if !m.changing.TryLock() {
+		return
+	}
+	defer m.changing.Unlock()
+	defer r.ledger.Begin(faultNode)()
+	defer r.ledger.Begin(m.ownFault())()
+	end()
+	r.last(e.For)
+	if err := m.start(); err != nil {
+		r.fail(err)
+		return
+	}
+	if !m.awaitReady() && r.ctx.Err() == nil {
+		r.ledger.Add(Lost, "", fmt.Sprintf("%s is not ready %v after its start", m.name, readyBound))
+	}
+}
+
+func killNode(r *run, m *machine, e Event) {
+	r.restart(m, e, func() {
+		defer r.ledger.Begin(m.downFault())()
+		m.kill()
+	})
+}
+
+func stopNode(r *run, m *machine, e Event) { r.restart(m, e, m.stop) }
+
+func pauseNode(r *run, m *machine, e Event) {
+	if !m.changing.TryLock() {
+		return
+	}
+	defer m.changing.Unlock()
+	defer r.ledger.Begin(faultPause)()
+	defer r.ledger.Begin(m.ownFault())()
+	m.process.Signal(syscall.SIGSTOP)
+	r.last(e.For)
+	m.process.Signal(syscall.SIGCONT)
+}
+
+func reloadNode(_ *run, m *machine, _ Event) { m.process.Signal(syscall.SIGHUP) }
+
+func crashUpstream(r *run, m *machine, e Event) {
+	if !m.upstreamChanging.TryLock() {
+		return
+	}
+	defer m.upstreamChanging.Unlock()
+	m.upstream.Crash()
+	r.last(e.For)
+	if err := m.upstream.Start(); err != nil {
+		r.fail(err)
+	}
+}
+
+func leaveUpstream(r *run, m *machine, e Event) {
+	if !m.upstreamChanging.TryLock() {
+		return
+	}
+	defer m.upstreamChanging.Unlock()
+	m.upstream.Leave()
+	r.last(leaveTime)
+	m.upstream.Crash()
+	r.last(e.For)
+	if err := m.upstream.Start(); err != nil {
+		r.fail(err)
+	}
+}
+
+func health(h Health) fault {
+	return func(r *run, m *machine, e Event) {
+		m.upstream.Set(h)
+		r.last(e.For)
+		m.upstream.Set(Healthy)
+	}
+}
+
+func upstreamWay(mode Mode) fault {
+	return func(r *run, m *machine, e Event) {
+		defer r.ledger.Begin(faultUpstreamWay)()
+		m.upstreamWay.Set(mode)
+		r.last(e.For)
+		m.upstreamWay.Set(ModePass)
+	}
+}
+
+func storeWay(mode Mode) fault {
+	return func(r *run, m *machine, e Event) {
+		defer r.ledger.Begin(faultStoreWay)()
+		defer r.ledger.Begin(m.ownFault())()
+		m.storeWay.Set(mode)
+		r.last(e.For)
+		m.storeWay.Set(ModePass)
+	}
+}
+
+func storeFaults(f fake.Faults) fault {
+	return func(r *run, _ *machine, e Event) {
+		defer r.ledger.Begin(faultStore)()
+		r.setStore(f)
+		r.last(e.For)
+		r.setStore(fake.Faults{})
+	}
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,84 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Process is one program under test. Only processes started here are signalled,
+// by their id. It is safe for concurrent use.
+type Process struct {
+	path string
+	args []string
+	log  string
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+// NewProcess returns a process that is not started; its output is appended to
+// the file log.
+func NewProcess(log, path string, args ...string) *Process {
+	return &Process{path: path, args: args, log: log}
+}
+
+// Start starts the process, unless it runs.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return nil
+	}
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return errors.Wrap(err, "log")
+	}
+	defer out.Close()
+	cmd := exec.Command(p.path, p.args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, "start")
+	}
+	ended := make(chan struct{})
+	p.cmd, p.ended = cmd, ended
+	go func() {
+		_ = cmd.Wait() // how it ended is in its log
+		p.mu.Lock()
+		p.cmd = nil
+		p.mu.Unlock()
+		close(ended)
+	}()
+	return nil
+}
+
+// Signal sends a signal; it does nothing where the process does not run.
+func (p *Process) Signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s) // it may have ended just now
+	}
+}
+
+// Wait waits for the end of the process and reports whether it came in time.
+func (p *Process) Wait(most time.Duration) bool {
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	if ended == nil {
+		return true
+	}
+	select {
+	case <-ended:
+		return true
+	case <-time.After(most):
+		return false
+	}
+}
