Store: the wrapper too gives a write time for the size of its value

Small writes and all reads keep their bounds.

Also: the soak uses wait.For instead of a wait of its own.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -17,6 +18,16 @@
 // MaxValue is the largest value of an object, in bytes.
 const MaxValue = 1 << 20
 
+// sendRate is the rate at least, in bytes a second, at which a value that is
+// written is taken in.
+const sendRate = 1 << 20
+
+// SendTime is what a write has for its value, of size bytes, beside the time of
+// any call.
+func SendTime(size int) time.Duration {
+	return time.Duration(size) * time.Second / sendRate
+}
+
 // Version grows with every write of any object. 0 means "does not exist".
 type Version uint64
 
--- a/internal/platform/resolve/resolve.go
+++ b/internal/platform/resolve/resolve.go
@@ -48,7 +48,8 @@
 	Rate, Burst float64
 	// Attempts bounds the calls made for one operation; default 4.
 	Attempts int
-	// CallTimeout bounds each call but a watch; default 1 s.
+	// CallTimeout bounds each call but a watch; default 1 s. A write has
+	// platform.SendTime beside it.
 	CallTimeout time.Duration
 	// BackoffBase and BackoffMax bound the waits; defaults 50 ms and 2 s.
 	BackoffBase, BackoffMax time.Duration
@@ -158,10 +159,15 @@
 
 // attempt makes one call under the rate limit and the call timeout.
 func (s *Store) attempt(ctx context.Context, call func(context.Context) error) error {
+	return s.attemptIn(ctx, s.opts.CallTimeout, call)
+}
+
+// attemptIn makes one call under the rate limit and a timeout.
+func (s *Store) attemptIn(ctx context.Context, timeout time.Duration, call func(context.Context) error) error {
 	if err := s.take(); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return call(ctx)
 }
--- a/internal/platform/resolve/writes.go
+++ b/internal/platform/resolve/writes.go
@@ -13,8 +13,9 @@
 func (s *Store) Put(ctx context.Context, key string, value []byte, base platform.Version, writeID string) (platform.Object, error) {
 	var out platform.Object
 	lost := false
+	timeout := s.opts.CallTimeout + platform.SendTime(len(value))
 	err := s.retry(ctx, func(int) (bool, error) {
-		err := s.attempt(ctx, func(ctx context.Context) (err error) {
+		err := s.attemptIn(ctx, timeout, func(ctx context.Context) (err error) {
 			out, err = s.inner.Put(ctx, key, value, base, writeID)
 			return err
 		})
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -78,8 +78,8 @@
 	// not to.
 	taken    int
 	answered map[Told]int
-	// faults are since when each present fault lasts, and ended is when the
-	// last one of its kind ended.
+	// faults is how many faults of a kind are present, and ended is when the last
+	// one of the kind ended.
 	faults map[string]int
 	ended  map[string]time.Time
 }
@@ -95,8 +95,7 @@
 	}
 }
 
-// Begin notes that a fault of a kind begins and returns what ends it. A fault
-// that is over at once is ended at once.
+// Begin notes that a fault of a kind begins and returns what ends it.
 func (l *Ledger) Begin(fault string) (end func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -14,6 +14,7 @@
 
 	"heathershed/internal/platform/fake"
 	"heathershed/internal/platform/wire"
+	"heathershed/internal/wait"
 	"heathershed/platform"
 	"heathershed/platform/platformtest"
 )
@@ -59,14 +60,14 @@
 			accepted := time.Now()
 			all.Go(func() { o.check(ctx, known, accepted) })
 		}
-		pause(ctx, changeEvery)
+		_ = wait.For(ctx, changeEvery)
 	}
 }
 
 // check looks some time after a change whether all nodes know it and earlier
 // ones.
 func (o *operator) check(ctx context.Context, known []int, accepted time.Time) {
-	if !pause(ctx, time.Until(accepted.Add(changeBound))) {
+	if wait.For(ctx, time.Until(accepted.Add(changeBound))) != nil {
 		return
 	}
 	o.probeAll(ctx, known, func(m *machine) bool {
@@ -79,7 +80,7 @@
 	o.mu.Lock()
 	versions := o.version
 	o.mu.Unlock()
-	if !pause(ctx, settleBound+changeBound) {
+	if wait.For(ctx, settleBound+changeBound) != nil {
 		return
 	}
 	var known []int
@@ -99,16 +100,6 @@
 	all.Wait()
 }
 
-// pause waits and reports whether the context goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // write puts the next version into the object API.
 func (o *operator) write(ctx context.Context) (version int, err error) {
 	o.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"heathershed/internal/platform/fake"
+	"heathershed/internal/wait"
 )
 
 const (
@@ -89,7 +90,7 @@
 }
 
 // last waits for the length of the fault.
-func (r *run) last(d time.Duration) { pause(r.ctx, d) }
+func (r *run) last(d time.Duration) { _ = wait.For(r.ctx, d) }
 
 // restart runs end, starts the node again after the fault's time and waits until
 // it is ready. It does nothing where the machine is being changed already.
