--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"context"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -22,10 +21,6 @@
 	// another node, and for that one's answer; fetchSpread varies it.
 	fetchAfter  = 100 * time.Millisecond
 	fetchSpread = 200 * time.Millisecond
-	// wantEvery is how often a node looks at which links it wants, and
-	// replaceAfter how long one is down before another is added for it.
-	wantEvery    = time.Second
-	replaceAfter = 3 * time.Second
 )
 
 // peers are the other nodes: what their records and their own frames say.
@@ -120,53 +115,6 @@
 	p.want()
 }
 
-// linked takes in that a link to a node has come up or gone down. A link that
-// was given up may end after the one that replaced it has come up, so the links
-// themselves say which it is.
-func (p *peers) linked(vm string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	up := p.n.links.Up(vm)
-	p.n.fleet.Linked(vm, up)
-	if up {
-		delete(p.down, vm)
-	} else if p.wanted[vm] {
-		p.down[vm] = time.Now()
-	}
-}
-
-// downFor is how long a wanted link to a node has not been up; 0 where it is up
-// or none is wanted.
-func (p *peers) downFor(vm string) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	since, down := p.down[vm]
-	if !down {
-		return 0
-	}
-	return time.Since(since)
-}
-
-// unreachable returns the known nodes without a link: none is wanted, or it has
-// been down for long.
-func (p *peers) unreachable() []string {
-	var vms []string
-	for _, vm := range p.names() {
-		if !p.n.links.Wanted(vm) || p.downFor(vm) > goneAfter {
-			vms = append(vms, vm)
-		}
-	}
-	return vms
-}
-
-// mostlyLinked reports whether most wanted links are up: else this node is more
-// likely cut off than the others are gone.
-func (p *peers) mostlyLinked() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return 2*len(p.down) < len(p.wanted)
-}
-
 // names returns the known nodes.
 func (p *peers) names() []string {
 	p.mu.Lock()
@@ -174,94 +122,6 @@
 	return slices.Collect(maps.Keys(p.members))
 }
 
-// runLinks is the duty that looks again at which links are wanted, as links go
-// down and come back.
-func (p *peers) runLinks(ctx context.Context) error {
-	ticker := time.NewTicker(wantEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			p.want()
-		}
-	}
-}
-
-// want asks for links to a subset of the known nodes.
-func (p *peers) want() {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	wanted := make(map[string]bool)
-	for _, vm := range fleet.Subset(p.n.cfg.VM, p.n.cfg.Datacentre, p.candidates(now)) {
-		wanted[vm] = true
-	}
-	p.keepWorking(wanted)
-	p.note(now, wanted)
-	targets := make([]link.Target, 0, len(wanted))
-	for vm := range wanted {
-		targets = append(targets, link.Target{VM: vm, Address: p.members[vm].Address, Named: true})
-	}
-	p.n.budget.setNodes(len(p.members) + 1)
-	p.n.links.Want(targets)
-}
-
-// watches reports whether this node is one of those that watch the object API.
-func (p *peers) watches() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	linked := make([]fleet.Candidate, 0, len(p.wanted))
-	for vm := range p.wanted {
-		_, down := p.down[vm]
-		if m := p.members[vm]; m != nil {
-			linked = append(linked, fleet.Candidate{VM: vm, Datacentre: m.Datacentre, Down: down})
-		}
-	}
-	return fleet.Watches(p.n.cfg.VM, p.n.cfg.Datacentre, linked)
-}
-
-// candidates are the known nodes; the caller holds the lock.
-func (p *peers) candidates(now time.Time) []fleet.Candidate {
-	all := make([]fleet.Candidate, 0, len(p.members))
-	for vm, m := range p.members {
-		since, down := p.down[vm]
-		all = append(all, fleet.Candidate{
-			VM:         vm,
-			Service:    m.Service,
-			Datacentre: m.Datacentre,
-			Down:       down && now.Sub(since) > replaceAfter,
-		})
-	}
-	return all
-}
-
-// keepWorking adds the links that are up while others are down: what a passing
-// failure has added is given up after it has ended. The caller holds the lock.
-func (p *peers) keepWorking(wanted map[string]bool) {
-	if len(p.down) == 0 {
-		return
-	}
-	for vm := range p.wanted {
-		_, down := p.down[vm]
-		if p.members[vm] != nil && !down {
-			wanted[vm] = true
-		}
-	}
-}
-
-// note keeps since when wanted links are down; the caller holds the lock.
-func (p *peers) note(now time.Time, wanted map[string]bool) {
-	for vm := range wanted {
-		if !p.wanted[vm] {
-			p.down[vm] = now
-		}
-	}
-	maps.DeleteFunc(p.down, func(vm string, _ time.Time) bool { return !wanted[vm] })
-	p.wanted = wanted
-}
-
 // Heartbeat implements link.Handler: the load and the version in force, and
 // the own record where the other end has not had it.
 func (n *Node) Heartbeat(s *link.Session) *linkpb.ControlFrame {
