One copy of the line's choice, of the renewed upstream and of the process's time

Ruled out: any change of behaviour; the waits, bounds, messages and keys are as before, and no test's expectation changed.

Change: logEnd and logRun choose message and sample in lineOf; a crash and a leave of the soak's upstream share renew; the soak's services are named in one place and its polls are named constants; both benchmarks of fleets read the processor time from internal/cputime.

--- a/internal/node/scale_test.go
+++ b/internal/node/scale_test.go
@@ -5,10 +5,10 @@
 	"runtime"
 	"strconv"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
+	"heathershed/internal/cputime"
 	"heathershed/internal/link"
 	"heathershed/internal/platform/fake"
 	"heathershed/internal/settings"
@@ -30,7 +30,7 @@
 }
 
 func (f *fleet) read() fleetReading {
-	r := fleetReading{at: time.Now(), cpu: processTime(), store: f.store.Counts()}
+	r := fleetReading{at: time.Now(), cpu: cputime.Process(), store: f.store.Counts()}
 	for _, m := range f.nodes {
 		t := m.node.traffic.Read()
 		r.traffic.SentBytes += t.SentBytes
@@ -40,13 +40,6 @@
 	return r
 }
 
-// processTime is the processor time of this process so far.
-func processTime() time.Duration {
-	var u syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 // reportRates gives the difference of two readings, per node and second.
 func reportRates(b *testing.B, name string, nodes int, from, to fleetReading) {
 	seconds := to.at.Sub(from.at).Seconds()
--- a/internal/sidecar/load_test.go
+++ b/internal/sidecar/load_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"heathershed/internal/cputime"
 	"heathershed/platform/platformtest"
 )
 
@@ -25,7 +26,7 @@
 	far.beat("far", "ready")
 	near.serves("/far/1")
 	client := &fasthttp.HostClient{Addr: near.cfg.Clients, MaxConns: benchCallers}
-	from := processTime()
+	from := cputime.Process()
 	requests := make(chan struct{})
 	var group sync.WaitGroup
 	for range benchCallers {
@@ -40,7 +41,7 @@
 	}
 	close(requests)
 	group.Wait()
-	b.ReportMetric(float64((processTime()-from).Microseconds())/float64(b.N), "cpu-us/op")
+	b.ReportMetric(float64((cputime.Process()-from).Microseconds())/float64(b.N), "cpu-us/op")
 }
 
 func askFast(b *testing.B, client *fasthttp.HostClient) {
--- a/internal/sidecar/logs.go
+++ b/internal/sidecar/logs.go
@@ -38,24 +38,28 @@
 
 func sampled(id string) bool { return xxhash.Sum64String(id)%sampleOne == 0 }
 
+// lineOf chooses the message for how a request ended, and reports whether it is
+// written: always where it failed, else for a sample of ids.
+func lineOf(reply *linkpb.CallReply, id, well, failed string) (message string, written bool) {
+	if !endedWell(reply) {
+		return failed, true
+	}
+	return well, sampled(id)
+}
+
 // logEnd writes the line of a request's end: of each that failed, and of some
 // that went well.
 func (n *Node) logEnd(c *call, reply *linkpb.CallReply, took time.Duration) {
-	verdict := contract.Verdict(reply.Verdict)
-	well := endedWell(reply)
-	if well && !sampled(c.attempt) {
+	message, written := lineOf(reply, c.attempt, "request answered", "request failed")
+	if !written {
 		return
 	}
-	message := "request failed"
-	if well {
-		message = "request answered"
-	}
 	route := ""
 	if c.route != nil {
 		route = c.route.Name
 	}
 	n.log.Info(message, "id", c.attempt, "parent", c.parentID, "route", route, "service", c.service,
-		"inner", c.inner, "verdict", verdict.String(), "reason", contract.Reason(reply.Reason).String(),
+		"inner", c.inner, "verdict", contract.Verdict(reply.Verdict).String(), "reason", contract.Reason(reply.Reason).String(),
 		"detail", reply.Detail, "status", reply.Status, "vm", reply.Vm, "took_ms", took.Milliseconds(),
 		"left_ms", time.Until(c.deadline).Milliseconds(), "come_back_ms", reply.RetryAfterMs)
 }
@@ -78,16 +82,11 @@
 
 // logRun writes what the upstream did with a request that the door let in.
 func (n *Node) logRun(req *linkpb.CallRequest, reply *linkpb.CallReply, wait, service time.Duration) {
-	verdict := contract.Verdict(reply.Verdict)
-	well := endedWell(reply)
-	if well && !sampled(req.AttemptId) {
+	message, written := lineOf(reply, req.AttemptId, "run ended", "run failed")
+	if !written {
 		return
 	}
-	message := "run failed"
-	if well {
-		message = "run ended"
-	}
 	n.log.Info(message, "id", req.AttemptId, "route", req.Kind, "from", req.FromVm, "instance", n.target.state().ID,
-		"verdict", verdict.String(), "reason", contract.Reason(reply.Reason).String(), "detail", reply.Detail,
+		"verdict", contract.Verdict(reply.Verdict).String(), "reason", contract.Reason(reply.Reason).String(), "detail", reply.Detail,
 		"status", reply.Status, "wait_ms", wait.Milliseconds(), "service_ms", service.Milliseconds())
 }
--- a/internal/sidecar/scale_test.go
+++ b/internal/sidecar/scale_test.go
@@ -4,9 +4,10 @@
 	"fmt"
 	"runtime"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
+
+	"heathershed/internal/cputime"
 )
 
 const (
@@ -147,7 +148,7 @@
 
 func (w *world) read(vms []*vm) restReading {
 	counts := w.store.Counts()
-	r := restReading{at: time.Now(), cpu: processTime(), store: counts.Reads() + counts.Writes()}
+	r := restReading{at: time.Now(), cpu: cputime.Process(), store: counts.Reads() + counts.Writes()}
 	for _, m := range vms {
 		t := m.node.traffic.Read()
 		r.bytes += t.SentBytes
@@ -155,10 +156,3 @@
 	}
 	return r
 }
-
-// processTime is the processor time of this process so far.
-func processTime() time.Duration {
-	var u syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -117,7 +117,6 @@
 type client struct {
 	name   string
 	m      *machine
-	paths  []string
 	random *rand.Rand
 	ledger *Ledger
 }
@@ -155,7 +154,7 @@
 }
 
 func (c *client) draw(n int) request {
-	path := c.paths[c.random.IntN(len(c.paths))]
+	path := services[c.random.IntN(len(services))]
 	r := request{
 		at:      c.m.clients,
 		attempt: fmt.Sprintf("%s-%d", c.name, n),
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -138,7 +138,7 @@
 // awaitReady waits until the node takes work and reports whether it came to it.
 func (m *machine) awaitReady() bool {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for until := time.Now().Add(readyBound); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+	for until := time.Now().Add(readyBound); time.Now().Before(until); time.Sleep(pollEvery) {
 		resp, err := client.Get("http://" + m.ready + platform.PathReady)
 		if err != nil {
 			continue
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,7 +37,6 @@
 type operator struct {
 	ledger   *Ledger
 	store    string
-	services []string
 	machines []*machine
 
 	mu       sync.Mutex
@@ -105,9 +105,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	version = o.version + 1
-	services := append([]string(nil), o.services...)
+	all := slices.Clone(services)
 	for v := 1; v <= version; v++ {
-		services = append(services, added(v))
+		all = append(all, added(v))
 	}
 	objects := platform.NewObjects(o.store)
 	old, err := objects.Get(ctx, platform.ConfigKind, platform.ConfigName)
@@ -116,7 +116,7 @@
 	}
 	_, err = objects.Put(ctx, platform.ConfigKind, platform.Object{
 		Name: platform.ConfigName, Revision: o.revision,
-		Spec: []byte(platformtest.Config(version, services...)),
+		Spec: []byte(platformtest.Config(version, all...)),
 	})
 	if err == nil {
 		o.version = version
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -135,25 +135,23 @@
 
 func reloadNode(_ *run, m *machine, _ Event) { m.process.Signal(syscall.SIGHUP) }
 
-func crashUpstream(r *run, m *machine, e Event) {
-	if !m.upstreamChanging.TryLock() {
-		return
-	}
-	defer m.upstreamChanging.Unlock()
-	m.upstream.Crash()
-	r.last(e.For)
-	if err := m.upstream.Start(); err != nil {
-		r.fail(err)
-	}
-}
+func crashUpstream(r *run, m *machine, e Event) { r.renew(m, e, func() {}) }
 
 func leaveUpstream(r *run, m *machine, e Event) {
+	r.renew(m, e, func() {
+		m.upstream.Leave()
+		r.last(leaveTime)
+	})
+}
+
+// renew runs before, crashes the upstream and starts it again after the fault's
+// time. It does nothing where the upstream is being changed already.
+func (r *run) renew(m *machine, e Event, before func()) {
 	if !m.upstreamChanging.TryLock() {
 		return
 	}
 	defer m.upstreamChanging.Unlock()
-	m.upstream.Leave()
-	r.last(leaveTime)
+	before()
 	m.upstream.Crash()
 	r.last(e.For)
 	if err := m.upstream.Start(); err != nil {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -37,6 +37,10 @@
 	brownoutTime = 5 * time.Second
 	// storeStart is how long the object API's stand-in has to start.
 	storeStart = 5 * time.Second
+	// pollEvery is the time between two looks at what is awaited.
+	pollEvery = 50 * time.Millisecond
+	// askEvery is the time between two requests that look for recovery.
+	askEvery = 100 * time.Millisecond
 )
 
 // services have each about the same number of upstreams.
@@ -103,7 +107,7 @@
 	if err := r.store.Start(); err != nil {
 		return err
 	}
-	r.operator = &operator{ledger: r.ledger, store: store, services: services}
+	r.operator = &operator{ledger: r.ledger, store: store}
 	if err := r.firstVersion(); err != nil {
 		return err
 	}
@@ -122,7 +126,7 @@
 }
 
 func (r *run) firstVersion() error {
-	for until := time.Now().Add(storeStart); ; time.Sleep(50 * time.Millisecond) {
+	for until := time.Now().Add(storeStart); ; time.Sleep(pollEvery) {
 		_, err := r.operator.write(r.ctx)
 		if err == nil || time.Now().After(until) {
 			return errors.Wrap(err, "first configuration")
@@ -152,7 +156,7 @@
 	for i, m := range r.machines {
 		for k := range r.cfg.Clients {
 			c := &client{
-				name: fmt.Sprintf("%s-c%d", m.name, k), m: m, paths: services, ledger: r.ledger,
+				name: fmt.Sprintf("%s-c%d", m.name, k), m: m, ledger: r.ledger,
 				random: rand.New(rand.NewPCG(r.cfg.Seed, uint64(1000*i+k+10))),
 			}
 			all.Go(func() { c.run(ctx) })
@@ -216,7 +220,7 @@
 		if time.Now().After(until) {
 			return false
 		}
-		r.last(100 * time.Millisecond)
+		r.last(askEvery)
 	}
 	return false
 }
