Link: a silent link says what it waited for

The line 'link silent' gives the age of the newest proof, what is without proof and for how long, and the time between the last two looks. No change of logic.

--- a/internal/link/liveness/detector.go
+++ b/internal/link/liveness/detector.go
@@ -72,8 +72,10 @@
 	echo uint64
 	// owed says that the other end waits for an echo.
 	owed bool
-	// tick is the newest time at which Due or Silent was asked.
+	// tick is the newest time at which Due or Silent was asked, and gap the time
+	// between the two newest ones that differ.
 	tick time.Time
+	gap  time.Duration
 }
 
 // New returns the Detector of a connection made at now.
@@ -201,6 +203,29 @@
 	return d.numOpen > 0 && d.overdue(d.open[0].at, now) || d.overdue(d.callOpen, now)
 }
 
+// Waiting is what a Detector waits for, as ages; 0 stands for nothing.
+type Waiting struct {
+	// Proof is the age of the newest proof, Heard that of what last arrived.
+	Proof, Heard time.Duration
+	// Heartbeat and Call are how long the oldest ones are without proof.
+	Heartbeat, Call time.Duration
+	// Gap is the time between the two newest ticks: a process short of
+	// processor time ticks late.
+	Gap time.Duration
+}
+
+// Waiting returns what the Detector waits for.
+func (d *Detector) Waiting(now time.Time) Waiting {
+	w := Waiting{Proof: now.Sub(d.proven), Heard: now.Sub(d.heard), Gap: d.gap}
+	if d.numOpen > 0 {
+		w.Heartbeat = now.Sub(d.open[0].at)
+	}
+	if !d.callOpen.IsZero() {
+		w.Call = now.Sub(d.callOpen)
+	}
+	return w
+}
+
 // overdue reports whether what was sent at the given time has been without
 // proof for Timeout.
 func (d *Detector) overdue(sent, now time.Time) bool {
@@ -213,6 +238,9 @@
 func (d *Detector) observe(now time.Time) {
 	gap := now.Sub(d.tick)
 	d.tick = now
+	if gap > 0 {
+		d.gap = gap
+	}
 	if gap <= d.cfg.Interval/2 {
 		return
 	}
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -16,9 +16,6 @@
 // outRing bounds the frames that wait to be sent on one session.
 const outRing = 64
 
-// errSilent ends a session whose other end gave no sign of life.
-var errSilent = errors.New("link: silent")
-
 // errRefused ends a session with a node that is not the wanted one.
 var errRefused = errors.New("link: another node answered")
 
@@ -151,7 +148,7 @@
 		case <-s.due:
 			err = s.transmit(s.handler.Heartbeat(s))
 		case <-s.silent:
-			return errSilent
+			return s.silence()
 		}
 	}
 	if errors.Is(err, io.EOF) { // the stream has ended; the receiver knows why
@@ -160,6 +157,13 @@
 	return err
 }
 
+// silence is the error of a session whose other end gave no sign of life.
+func (s *Session) silence() *SilentError {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &SilentError{Waiting: s.detector.Waiting(time.Now()), Passive: !s.dialled}
+}
+
 // tick looks at the detector and signals what it says.
 func (s *Session) tick(now time.Time) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/link/silent.go
@@ -0,0 +1,21 @@
+package link
+
+import (
+	"fmt"
+
+	"heathershed/internal/link/liveness"
+)
+
+// SilentError ends a session whose other end gave no sign of life.
+type SilentError struct {
+	// Waiting is what had been waited for, and for how long.
+	Waiting liveness.Waiting
+	// Passive says that the end that accepted the link found it silent.
+	Passive bool
+}
+
+// Error implements error.
+func (e *SilentError) Error() string {
+	w := e.Waiting
+	return fmt.Sprintf("link: silent: call without proof for %v, heartbeat for %v", w.Call, w.Heartbeat)
+}
--- a/internal/sidecar/logs.go
+++ b/internal/sidecar/logs.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
+	"heathershed/internal/link"
 )
 
 // sampleOne is the number of requests that end well of which one is logged, by
@@ -64,6 +66,22 @@
 		"left_ms", time.Until(c.deadline).Milliseconds(), "come_back_ms", reply.RetryAfterMs)
 }
 
+// logLinkLost writes the end of a session that this node dialled, or took for
+// silent, and what it had waited for.
+func (n *Node) logLinkLost(s *link.Session, reason error) {
+	var silent *link.SilentError
+	if !errors.As(reason, &silent) {
+		if s.Dialled() {
+			n.log.Info("link lost", "vm", s.Peer().VM, "err", reason)
+		}
+		return
+	}
+	w := silent.Waiting
+	n.log.Warn("link silent", "vm", s.Peer().VM, "dialled", s.Dialled(), "proof_ms", w.Proof.Milliseconds(),
+		"heard_ms", w.Heard.Milliseconds(), "heartbeat_ms", w.Heartbeat.Milliseconds(), "call_ms", w.Call.Milliseconds(),
+		"tick_ms", w.Gap.Milliseconds(), "in_flight", n.inFlight.Load())
+}
+
 // logShed writes why the front refused a client's request.
 func (n *Node) logShed(c *call, threshold contract.Level) {
 	n.log.Info("request shed", "id", c.attempt, "route", c.route.Name, "service", c.service,
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -210,8 +210,8 @@
 	n.peers.mu.Unlock()
 	if s.Dialled() {
 		n.peers.linked(s.Peer().VM)
-		n.log.Info("link lost", "vm", s.Peer().VM, "err", reason)
 	}
+	n.logLinkLost(s, reason)
 }
 
 // News implements link.Handler.
