Detector: a slow answer is no silence of the link

Cause: a call counted as overdue 1.5 s after it was sent, while the heartbeat that would prove the link is due only 1.2 s after the newest proof, sent at the next look (250 ms) and echoed at the other end's next look (250 ms): 1.7 s. The tests looked each 100 ms, as docs/design/liveness.md says; the nodes did so each 250 ms.

Now a heartbeat alone can be overdue; a call tells nothing of a link whose upstream may be slow, so SentCall and the times of calls are gone. One constant, liveness.Tick, is the time between looks in nodes and tests.

--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -48,7 +48,6 @@
 	l.inFlight.Add(1)
 	defer l.inFlight.Add(-1)
 	began := time.Now()
-	session.sentCall(began)
 	reply, err := client.Call(context.WithValue(ctx, sentKey{}, sent), req, grpc.WaitForReady(false))
 	if err != nil {
 		return l.failed(ctx, sent.Load(), err)
--- a/internal/link/liveness/detector.go
+++ b/internal/link/liveness/detector.go
@@ -9,9 +9,10 @@
 // be silent in one direction only.
 //
 // While answers flow no heartbeat is due. Once the newest proof is older than
-// Interval, one is; once something sent has been without proof for Timeout,
-// the link is silent. So silence is found within Interval + Timeout and one
-// tick of the caller, on idle and on busy links.
+// Interval, one is; once a heartbeat has been without proof for Timeout, the
+// link is silent. A call without an answer says nothing of the link: its
+// upstream may just be slow. So silence is found within Interval + Timeout and
+// two ticks of the caller, on idle and on busy links.
 //
 // One link serves all services and kinds between two VMs and has one Detector;
 // docs/design/liveness.md has the figures.
@@ -19,12 +20,15 @@
 
 import "time"
 
-// Defaults of Config. Their sum and a tick stay under 3 s.
+// Defaults of Config. Their sum and two ticks stay under 3 s.
 const (
 	DefaultInterval = 1200 * time.Millisecond
 	DefaultTimeout  = 1500 * time.Millisecond
 )
 
+// Tick is how often the caller asks a Detector.
+const Tick = 100 * time.Millisecond
+
 // maxOpen bounds the heartbeats without proof that are kept apart. More than
 // Timeout / Interval are never needed; the newest are left out.
 const maxOpen = 4
@@ -33,7 +37,7 @@
 type Config struct {
 	// Interval is the age of the newest proof at which a heartbeat is due.
 	Interval time.Duration
-	// Timeout is how long something sent may be without proof.
+	// Timeout is how long a heartbeat may be without proof.
 	Timeout time.Duration
 	// Passive is for the end that accepted the link; one end of every link must
 	// be. It makes no calls over the link, so it needs no proof: it only answers
@@ -62,10 +66,6 @@
 	// count.
 	open    [maxOpen]heartbeat
 	numOpen int
-	// callOpen is when the oldest call without proof was sent; zero: none.
-	callOpen time.Time
-	// callLast is when the newest call was sent.
-	callLast time.Time
 	// heard is when anything last arrived.
 	heard time.Time
 	// echo is the highest own sequence number that the other end has echoed.
@@ -92,18 +92,6 @@
 // Heard records that anything arrived from the other end.
 func (d *Detector) Heard(now time.Time) { d.heard = now }
 
-// SentCall records that a call was sent.
-func (d *Detector) SentCall(now time.Time) {
-	if d.callOpen.IsZero() {
-		d.callOpen = now
-	}
-	d.callLast = now
-}
-
-// Answered records an answer to a call, taken for the newest one sent. Where
-// the time at which the call was sent is at hand, AnsweredSent is sharper.
-func (d *Detector) Answered(now time.Time) { d.AnsweredSent(now, now) }
-
 // AnsweredSent records an answer to the call that was sent at the given time.
 // Answers to old calls that still trickle in do not hide that new ones no
 // longer arrive.
@@ -148,18 +136,10 @@
 		copy(d.open[:], d.open[1:d.numOpen])
 		d.numOpen--
 	}
-	if d.callOpen.IsZero() || d.callOpen.After(d.proven) {
-		return
-	}
-	d.callOpen = time.Time{}
-	if d.callLast.After(d.proven) {
-		d.callOpen = d.callLast
-	}
 }
 
 // Due reports whether a control frame must be sent now, as a heartbeat or as
-// the echo of one; the caller then sends it. Ask at least every quarter of
-// Interval.
+// the echo of one; the caller then sends it. Ask every Tick.
 func (d *Detector) Due(now time.Time) bool {
 	d.observe(now)
 	if !d.cfg.Passive && d.beatDue(now) {
@@ -200,15 +180,15 @@
 	if d.cfg.Passive {
 		return now.Sub(d.heard) >= d.cfg.Interval+d.cfg.Timeout
 	}
-	return d.numOpen > 0 && d.overdue(d.open[0].at, now) || d.overdue(d.callOpen, now)
+	return d.numOpen > 0 && now.Sub(d.open[0].at) >= d.cfg.Timeout
 }
 
 // Waiting is what a Detector waits for, as ages; 0 stands for nothing.
 type Waiting struct {
 	// Proof is the age of the newest proof, Heard that of what last arrived.
 	Proof, Heard time.Duration
-	// Heartbeat and Call are how long the oldest ones are without proof.
-	Heartbeat, Call time.Duration
+	// Heartbeat is how long the oldest one is without proof.
+	Heartbeat time.Duration
 	// Gap is the time between the two newest ticks: a process short of
 	// processor time ticks late.
 	Gap time.Duration
@@ -220,18 +200,9 @@
 	if d.numOpen > 0 {
 		w.Heartbeat = now.Sub(d.open[0].at)
 	}
-	if !d.callOpen.IsZero() {
-		w.Call = now.Sub(d.callOpen)
-	}
 	return w
 }
 
-// overdue reports whether what was sent at the given time has been without
-// proof for Timeout.
-func (d *Detector) overdue(sent, now time.Time) bool {
-	return !sent.IsZero() && now.Sub(sent) >= d.cfg.Timeout
-}
-
 // observe notices a pause of this process: what would have arrived meanwhile
 // waits to be read, so the time between two ticks that are far apart is not
 // held against the other end, but for that of an ordinary tick.
@@ -248,16 +219,11 @@
 	for i := range d.numOpen {
 		d.open[i].at = later(d.open[i].at, pause, now)
 	}
-	d.callOpen = later(d.callOpen, pause, now)
-	d.callLast = later(d.callLast, pause, now)
 	d.heard = later(d.heard, pause, now)
 }
 
-// later moves a time that is set by the pause, but not past now.
+// later moves a time by the pause, but not past now.
 func later(t time.Time, pause time.Duration, now time.Time) time.Time {
-	if t.IsZero() {
-		return t
-	}
 	t = t.Add(pause)
 	if t.After(now) {
 		return now
--- a/internal/link/pulse.go
+++ b/internal/link/pulse.go
@@ -4,10 +4,9 @@
 	"context"
 	"sync"
 	"time"
-)
 
-// tickEvery is how often sessions look at their detectors.
-const tickEvery = 250 * time.Millisecond
+	"heathershed/internal/link/liveness"
+)
 
 // pulse has the sessions of one end look at their detectors: one timer for all,
 // since most sessions find nothing to do. It is safe for concurrent use.
@@ -20,7 +19,7 @@
 
 // run ticks until the context ends.
 func (p *pulse) run(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
+	ticker := time.NewTicker(liveness.Tick)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -78,13 +78,6 @@
 // where the ring is full; the digests of the next heartbeat make it good.
 func (s *Session) Send(f *linkpb.ControlFrame) bool { return s.out.Offer(f) }
 
-// sentCall and answered tell the detector of calls on the same connection.
-func (s *Session) sentCall(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.detector.SentCall(now)
-}
-
 // heardCall tells the detector of a call that arrived on the same connection:
 // while calls are answered the other end sends no heartbeats.
 func (s *Session) heardCall() {
@@ -93,6 +86,8 @@
 	s.detector.Heard(time.Now())
 }
 
+// answered tells the detector of an answer to a call that was sent at the given
+// time.
 func (s *Session) answered(sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/link/silent.go
+++ b/internal/link/silent.go
@@ -16,6 +16,5 @@
 
 // Error implements error.
 func (e *SilentError) Error() string {
-	w := e.Waiting
-	return fmt.Sprintf("link: silent: call without proof for %v, heartbeat for %v", w.Call, w.Heartbeat)
+	return fmt.Sprintf("link: silent: heartbeat without proof for %v", e.Waiting.Heartbeat)
 }
--- a/internal/sidecar/logs.go
+++ b/internal/sidecar/logs.go
@@ -78,7 +78,7 @@
 	}
 	w := silent.Waiting
 	n.log.Warn("link silent", "vm", s.Peer().VM, "dialled", s.Dialled(), "proof_ms", w.Proof.Milliseconds(),
-		"heard_ms", w.Heard.Milliseconds(), "heartbeat_ms", w.Heartbeat.Milliseconds(), "call_ms", w.Call.Milliseconds(),
+		"heard_ms", w.Heard.Milliseconds(), "heartbeat_ms", w.Heartbeat.Milliseconds(),
 		"tick_ms", w.Gap.Milliseconds(), "in_flight", n.inFlight.Load())
 }
 
