Tests: two runs on one machine use different loopback addresses

Five tests of internal/sidecar failed with 'address already in use' while another run of the tests went on beside them. The second byte of the addresses follows the process id; same for the short soak. Both pass beside another run.

--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -128,7 +129,7 @@
 var vmNumber atomic.Int32
 
 // start starts an upstream and a node beside it in the data centre "west", on a
-// loopback address of their own.
+// loopback address of their own, apart from other runs of the tests.
 func (w *world) start(service string) *vm {
 	w.t.Helper()
 	return w.startIn(service, "west")
@@ -138,7 +139,7 @@
 func (w *world) startIn(service, datacentre string) *vm {
 	w.t.Helper()
 	number := vmNumber.Add(1)
-	ip := fmt.Sprintf("127.0.%d.%d", 40+number/200, 1+number%200)
+	ip := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, 40+number/200, 1+number%200)
 	up := &backEnd{id: fmt.Sprint("i-", number), address: ip + ":8080"}
 	up.set(func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "whole answer") })
 	l, err := net.Listen("tcp", up.address)
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"fmt"
+	"os"
 	"os/exec"
 	"slices"
 	"testing"
@@ -18,6 +20,12 @@
 	return bin
 }
 
+// ownNet is a net of loopback addresses that other runs of the tests don't use.
+func ownNet() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("%d.%d", 200+pid%50, pid/50%250)
+}
+
 // Seeds that failed once, with their cause, stay in this list.
 var regressions = []uint64{1}
 
@@ -28,7 +36,7 @@
 	bin := build(t)
 	for _, seed := range regressions {
 		report, err := Run(t.Context(), Config{
-			Bin: bin, Dir: t.TempDir(), Seed: seed, Machines: 4, Clients: 2, Length: 5 * time.Second, Net: "78.1",
+			Bin: bin, Dir: t.TempDir(), Seed: seed, Machines: 4, Clients: 2, Length: 5 * time.Second, Net: ownNet(),
 		})
 		if err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
