Link: taken for silent, it takes no new calls and keeps those in flight

A link found silent closed its connection, which ended every call on it, at this end as may-have-run and at the other end by cancelling the run. But silence is a suspicion: the other end may be slow, short of processor time or frozen for some seconds, and its answers come after it.

Class of the fault: a belief about another process ended work in flight. Now a connection that is taken for silent, or whose link is not wanted any more, gets no new calls and is drained: its calls end by their answers, deadlines and callers, or by proof that the other process is gone (the connection breaks, or the VM answers with a higher incarnation). The new connection is made beside it; before, a planned end also held up the next connection until the last call had ended. Set.Call tells of the suspicion, so that a lookup can be tried elsewhere too.

--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -35,24 +35,18 @@
 
 func (sentObserver) HandleConn(context.Context, stats.ConnStats) {}
 
-// call runs one call over the link and turns every end into a reply.
-func (l *link) call(ctx context.Context, req *linkpb.CallRequest) *linkpb.CallReply {
-	session, client := l.up()
-	if session == nil {
-		return failure(contract.NotRun, contract.ReasonLinkLost, "no link to "+l.target.VM)
-	}
+// call runs one call over the connection and turns every end into a reply.
+func (c *conn) call(ctx context.Context, vm string, req *linkpb.CallRequest) *linkpb.CallReply {
 	if left := timeLeft(ctx); left > 0 {
 		req.TimeoutUs = left.Microseconds()
 	}
 	sent := new(atomic.Bool)
-	l.inFlight.Add(1)
-	defer l.inFlight.Add(-1)
 	began := time.Now()
-	reply, err := client.Call(context.WithValue(ctx, sentKey{}, sent), req, grpc.WaitForReady(false))
+	reply, err := c.client.Call(context.WithValue(ctx, sentKey{}, sent), req, grpc.WaitForReady(false))
 	if err != nil {
-		return l.failed(ctx, sent.Load(), err)
+		return failed(ctx, vm, sent.Load(), err)
 	}
-	session.answered(began)
+	c.session.answered(began)
 	if uint64(len(reply.Body)) != reply.BodyLength {
 		return failure(contract.MayHaveRun, contract.ReasonPartialAnswer, "answer cut on the link")
 	}
@@ -69,7 +63,7 @@
 
 // failed judges an error of the transport: a request that was never handed to
 // the connection was not run.
-func (l *link) failed(ctx context.Context, sent bool, err error) *linkpb.CallReply {
+func failed(ctx context.Context, vm string, sent bool, err error) *linkpb.CallReply {
 	verdict := contract.NotRun
 	if sent {
 		verdict = contract.MayHaveRun
@@ -78,11 +72,11 @@
 	late := ctx.Err() == context.DeadlineExceeded || status.Code(err) == codes.DeadlineExceeded
 	switch {
 	case late:
-		return failure(verdict, contract.ReasonDeadline, "no answer from "+l.target.VM)
+		return failure(verdict, contract.ReasonDeadline, "no answer from "+vm)
 	case ctx.Err() != nil:
 		return failure(verdict, contract.ReasonCancelled, "")
 	}
-	return failure(verdict, contract.ReasonLinkLost, "link to "+l.target.VM+": "+err.Error())
+	return failure(verdict, contract.ReasonLinkLost, "link to "+vm+": "+err.Error())
 }
 
 func failure(v contract.Verdict, r contract.Reason, detail string) *linkpb.CallReply {
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -2,9 +2,11 @@
 // control stream with heartbeats and news.
 //
 // A link is known to be alive by its own heartbeats and by answers, not by the
-// keepalive of the transport, which is too slow. A link found silent is closed
-// whole and replaced by a new connection; what was in flight on it ends as
-// "may have run". Every outcome of a call is a reply with a verdict; an error
+// keepalive of the transport, which is too slow. That is a suspicion: a link
+// found silent takes no new calls and a new connection replaces it, but its
+// calls go on, since the other end may be at work on them. They end by their
+// answers, their deadlines, their callers, or by proof that the process at the
+// other end is gone: a connection that breaks, another incarnation. Every outcome of a call is a reply with a verdict; an error
 // of the transport is turned into one here, the only place that knows whether
 // the request was handed to the connection.
 package link
--- a/internal/link/set.go
+++ b/internal/link/set.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -22,11 +21,6 @@
 	// doubles and is spread by the name of the VM.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 2 * time.Second
-	// finishTimeout bounds the wait for calls in flight on a link that the
-	// other end has closed in a planned stop.
-	finishTimeout = 2 * time.Minute
-	// finishPoll is how often such a link is looked at.
-	finishPoll = 50 * time.Millisecond
 )
 
 // Target is a node to hold a link to.
@@ -53,32 +47,33 @@
 
 	mu    sync.RWMutex
 	links map[string]*link
+	// draining are connections that take no new calls, by the VM at their end.
+	draining map[string]map[*conn]struct{}
 }
 
 // link is one wanted target with its present connection, if any.
 type link struct {
-	target   Target
-	stop     context.CancelFunc
-	inFlight atomic.Int64
+	target Target
+	stop   context.CancelFunc
 	// kick ends the wait before the next try.
 	kick chan struct{}
 
-	mu      sync.RWMutex
-	session *Session
-	client  linkpb.LinkClient
+	mu   sync.RWMutex
+	conn *conn
 }
 
 // NewSet returns an empty set whose duties run until ctx ends; group waits for
 // them, t counts control frames.
 func NewSet(ctx context.Context, group *errgroup.Group, h Handler, t *Traffic, dial Dialer) *Set {
 	s := &Set{
-		handler: h,
-		traffic: t,
-		dial:    dial,
-		group:   group,
-		ctx:     ctx,
-		pulse:   newPulse(),
-		links:   make(map[string]*link),
+		handler:  h,
+		traffic:  t,
+		dial:     dial,
+		group:    group,
+		ctx:      ctx,
+		pulse:    newPulse(),
+		links:    make(map[string]*link),
+		draining: make(map[string]map[*conn]struct{}),
 	}
 	group.Go(func() error {
 		s.pulse.run(ctx)
@@ -121,15 +116,32 @@
 	})
 }
 
-// Call runs a call at the node on vm. The reply is never nil.
-func (s *Set) Call(ctx context.Context, vm string, req *linkpb.CallRequest) *linkpb.CallReply {
+// Call runs a call at the node on vm and waits for its end; the reply is never
+// nil. Where the link is taken for dead meanwhile, suspect is started once in a
+// goroutine of its own, and the call goes on: its answer may still come. Call
+// reports whether suspect was started; it may be nil.
+func (s *Set) Call(ctx context.Context, vm string, req *linkpb.CallRequest, suspect func()) (reply *linkpb.CallReply, suspected bool) {
 	s.mu.RLock()
 	l := s.links[vm]
 	s.mu.RUnlock()
 	if l == nil {
-		return failure(contract.NotRun, contract.ReasonLinkLost, "no link to "+vm)
+		return noLink(vm), false
 	}
-	return l.call(ctx, req)
+	c := l.enter()
+	if c == nil {
+		return noLink(vm), false
+	}
+	defer c.inFlight.Add(-1)
+	if suspect == nil {
+		return c.call(ctx, vm, req), false
+	}
+	stop := context.AfterFunc(c.doubt, suspect)
+	reply = c.call(ctx, vm, req)
+	return reply, !stop()
+}
+
+func noLink(vm string) *linkpb.CallReply {
+	return failure(contract.NotRun, contract.ReasonLinkLost, "no link to "+vm)
 }
 
 // Up reports whether the link to vm carries calls.
@@ -140,8 +152,7 @@
 	if l == nil {
 		return false
 	}
-	session, _ := l.up()
-	return session != nil
+	return l.up()
 }
 
 // Wanted reports whether a link to vm is wanted.
@@ -156,7 +167,7 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	for _, l := range s.links {
-		if session, _ := l.up(); session != nil {
+		if l.up() {
 			up++
 		}
 	}
@@ -206,36 +217,80 @@
 	signal(l.kick)
 }
 
-// connect opens one connection and runs its session to the end.
+// connect opens one connection and runs its session to the end. Calls that are
+// in flight then go on.
 func (s *Set) connect(ctx context.Context, l *link) {
-	conn, err := s.open(l.target.Address)
+	raw, err := s.open(l.target.Address)
 	if err != nil {
 		return
 	}
+	c := newConn(raw)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	client := linkpb.NewLinkClient(conn)
-	control, err := client.Control(ctx, grpc.WaitForReady(false))
+	control, err := c.client.Control(ctx, grpc.WaitForReady(false))
 	if err != nil {
-		_ = conn.Close()
+		c.close()
 		return
 	}
 	timeout := time.AfterFunc(openTimeout, cancel)
-	session := newSession(s.handler, s.traffic, control, true)
-	leave := s.pulse.enter(session)
-	err = session.run(ctx, func(p Peer) bool {
+	c.session = newSession(s.handler, s.traffic, control, true)
+	leave := s.pulse.enter(c.session)
+	err = c.session.run(ctx, func(p Peer) bool {
 		if !timeout.Stop() || !l.is(p) {
 			return false
 		}
-		l.set(session, client)
+		s.endOlder(p)
+		c.peer = p
+		l.set(c)
 		return true
-	}, func() { l.set(nil, nil) })
+	}, func() { l.set(nil) })
 	leave()
 	timeout.Stop()
-	if planned(err) || ctx.Err() != nil {
-		l.finish()
+	if !planned(err) && ctx.Err() == nil {
+		c.suspect()
+	}
+	s.drain(c)
+}
+
+// drain closes a connection that takes no new calls once its calls have ended.
+func (s *Set) drain(c *conn) {
+	vm := c.peer.VM
+	if vm == "" { // never carried a call
+		c.close()
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining[vm] == nil {
+		s.draining[vm] = make(map[*conn]struct{})
+	}
+	s.draining[vm][c] = struct{}{}
+	s.group.Go(func() error {
+		c.drain(s.ctx)
+		s.drained(vm, c)
+		return nil
+	})
+}
+
+func (s *Set) drained(vm string, c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.draining[vm], c)
+	if len(s.draining[vm]) == 0 {
+		delete(s.draining, vm)
+	}
+}
+
+// endOlder ends the calls on connections to earlier starts of a node: the
+// process that had them is gone.
+func (s *Set) endOlder(p Peer) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for c := range s.draining[p.VM] {
+		if c.peer.Incarnation < p.Incarnation {
+			c.giveUp()
+		}
 	}
-	_ = conn.Close()
 }
 
 func (s *Set) open(address string) (*grpc.ClientConn, error) {
@@ -267,22 +322,26 @@
 	return l.target.Incarnation == 0 || p == Peer{VM: l.target.VM, Incarnation: l.target.Incarnation}
 }
 
-func (l *link) up() (*Session, linkpb.LinkClient) {
+// up reports whether the link carries calls.
+func (l *link) up() bool {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	return l.session, l.client
+	return l.conn != nil
 }
 
-func (l *link) set(s *Session, c linkpb.LinkClient) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.session, l.client = s, c
+// enter counts a call in flight on the present connection and returns it; nil
+// where there is none.
+func (l *link) enter() *conn {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if l.conn != nil {
+		l.conn.inFlight.Add(1)
+	}
+	return l.conn
 }
 
-// finish waits until the calls in flight have ended.
-func (l *link) finish() {
-	deadline := time.Now().Add(finishTimeout)
-	for l.inFlight.Load() > 0 && time.Now().Before(deadline) {
-		time.Sleep(finishPoll)
-	}
+func (l *link) set(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn = c
 }
--- a/internal/node/send.go
+++ b/internal/node/send.go
@@ -124,7 +124,7 @@
 		}
 		reply = n.serveOwn(ctx, req)
 	} else {
-		reply = n.links.Call(ctx, vm, req)
+		reply, _ = n.links.Call(ctx, vm, req, nil)
 	}
 	c.ledger.Settle(grant, int(reply.RetriesSpent), answered(reply))
 	return reply
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -122,7 +122,7 @@
 	if choice.VM == n.cfg.VM {
 		reply = n.serveOwn(ctx, req)
 	} else {
-		reply = n.links.Call(ctx, choice.VM, req)
+		reply, _ = n.links.Call(ctx, choice.VM, req, nil)
 	}
 	now := time.Now()
 	n.fleet.Done(now, choice, resultOf(c, reply))
