Wait: the backoff of the store's client and a signal, for all to use

resolve.Backoff was usable by the store's client alone, while the sidecar has two copies of the same loop with constants of their own. It moves unchanged to internal/wait, with a source of its own where none is given, and Until, the loop that repeats until it succeeds. Both have tests: doubling, bounds, the end of the context, two signals that join.

--- a/internal/platform/resolve/follow.go
+++ b/internal/platform/resolve/follow.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"heathershed/internal/platform"
+	"heathershed/internal/wait"
 )
 
 // FollowOptions of Follow. The zero value of each has a default.
@@ -32,21 +33,21 @@
 		o.Failed = func(error) {}
 	}
 	view := NewView()
-	wait := s.backoff()
+	pause := s.backoff()
 	for ctx.Err() == nil {
-		err := s.followOnce(ctx, prefix, o, view, wait)
+		err := s.followOnce(ctx, prefix, o, view, pause)
 		if err == nil || ctx.Err() != nil {
-			wait.Reset()
+			pause.Reset()
 			continue
 		}
 		o.Failed(err)
-		_ = s.opts.Sleep(ctx, wait.Next())
+		_ = s.opts.Sleep(ctx, pause.Next())
 	}
 	return ctx.Err()
 }
 
 // followOnce lists once and watches until the next list is due.
-func (s *Store) followOnce(ctx context.Context, prefix string, o FollowOptions, view *View, wait *Backoff) error {
+func (s *Store) followOnce(ctx context.Context, prefix string, o FollowOptions, view *View, pause *wait.Backoff) error {
 	objects, version, err := s.List(ctx, prefix)
 	if err != nil {
 		return err
@@ -56,8 +57,8 @@
 		return platform.ErrStale
 	}
 	o.Changed(view, changes)
-	wait.Reset()
-	jitter := Backoff{Base: o.ListEvery, Max: o.ListEvery, Draw: s.draw}
+	pause.Reset()
+	jitter := wait.Backoff{Base: o.ListEvery, Max: o.ListEvery, Draw: s.draw}
 	ctx, cancel := context.WithTimeout(ctx, jitter.Next())
 	defer cancel()
 	for ctx.Err() == nil {
--- a/internal/platform/resolve/resolve.go
+++ b/internal/platform/resolve/resolve.go
@@ -128,8 +128,8 @@
 }
 
 // backoff returns a fresh backoff that draws from the process's source.
-func (s *Store) backoff() *Backoff {
-	return &Backoff{Base: s.opts.BackoffBase, Max: s.opts.BackoffMax, Draw: s.draw}
+func (s *Store) backoff() *wait.Backoff {
+	return &wait.Backoff{Base: s.opts.BackoffBase, Max: s.opts.BackoffMax, Draw: s.draw}
 }
 
 func (s *Store) draw(n int64) int64 {
@@ -175,13 +175,13 @@
 // retry calls step until it is done, at most Attempts times. step reports
 // whether its error is final.
 func (s *Store) retry(ctx context.Context, step func(attempt int) (done bool, err error)) error {
-	wait := s.backoff()
+	pause := s.backoff()
 	for i := 0; ; i++ {
 		done, err := step(i)
 		if done || i+1 >= s.opts.Attempts {
 			return err
 		}
-		if sleepErr := s.opts.Sleep(ctx, wait.Next()); sleepErr != nil {
+		if sleepErr := s.opts.Sleep(ctx, pause.Next()); sleepErr != nil {
 			return errors.CombineErrors(err, sleepErr)
 		}
 		s.count(func(st *Stats) { st.Retries++ })
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -1,4 +1,5 @@
-// Package wait sleeps for as long as a context lasts.
+// Package wait waits for as long as a context lasts: for a time, for a signal,
+// and between attempts that fail.
 package wait
 
 import (
--- a/internal/wait/wait_test.go
+++ b/internal/wait/wait_test.go
@@ -35,3 +35,78 @@
 		}
 	}
 }
+
+func TestBackoffDoublesToItsMaximum(t *testing.T) {
+	const base, most = 100 * time.Millisecond, 700 * time.Millisecond
+	least := func(int64) int64 { return 0 }
+	highest := func(n int64) int64 { return n - 1 }
+	whole := []time.Duration{base, 2 * base, 4 * base, most, most}
+	for name, c := range map[string]struct {
+		draw func(int64) int64
+		part time.Duration
+	}{
+		"least draw":   {least, 2},
+		"highest draw": {highest, 1},
+	} {
+		b := Backoff{Base: base, Max: most, Draw: c.draw}
+		for i, d := range whole {
+			if got := b.Next(); got != d/c.part {
+				t.Errorf("%s: wait %d is %v, want %v", name, i, got, d/c.part)
+			}
+		}
+		b.Reset()
+		if got := b.Next(); got != base/c.part {
+			t.Errorf("%s: %v after a success, want %v", name, got, base/c.part)
+		}
+	}
+}
+
+func TestBackoffStaysWithinItsBounds(t *testing.T) {
+	b := Backoff{Base: time.Second, Max: time.Minute}
+	for i := range 100 {
+		if got := b.Next(); got < time.Second/2 || got > time.Minute {
+			t.Fatalf("wait %d is %v", i, got)
+		}
+	}
+}
+
+func TestUntilEndsWithSuccessOrContext(t *testing.T) {
+	tries := 0
+	b := Backoff{Base: time.Millisecond, Max: time.Millisecond}
+	b.Until(t.Context(), func() bool { tries++; return tries == 3 })
+	if tries != 3 {
+		t.Errorf("%d tries, want 3", tries)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	b.Until(ctx, func() bool { cancel(); tries++; return false })
+	if tries != 4 {
+		t.Errorf("%d tries, want none after the end of the context", tries)
+	}
+}
+
+func TestSignal(t *testing.T) {
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	for name, c := range map[string]struct {
+		ctx  context.Context
+		sent int
+		d    time.Duration
+		want bool
+	}{
+		"none":              {t.Context(), 0, time.Millisecond, false},
+		"sent before":       {t.Context(), 1, time.Hour, true},
+		"sent twice":        {t.Context(), 2, time.Hour, true},
+		"context has ended": {ended, 0, time.Hour, false},
+	} {
+		s := NewSignal()
+		for range c.sent {
+			s.Send()
+		}
+		if got := s.Within(c.ctx, c.d); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+		if s.Within(t.Context(), time.Millisecond) {
+			t.Errorf("%s: a second signal is pending", name)
+		}
+	}
+}
