Sidecar: the waits after a failed call are those of internal/wait

runConfiguration and recordDuty.until had the same doubling wait written out beside the one of the store's client; awaitBeat and wakeRecord spelled out a signal. All are wait.Backoff, its Until and wait.Signal now.

The shape of the wait differs a little: it was drawn from half to one and a half of 100 ms to 2 s, and is drawn from half to all of 130 ms to 2600 ms. By the formulas the mean stays (100 to 2000 ms before, 97 to 1950 ms now), so calls of a store that is away grow by under 3%, and the longest wait falls from 3.0 to 2.6 s.

go test -race ./internal/sidecar: ok; the run before failed in one test with "address already in use", another run of these tests had the same loopback addresses at that time.

--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -17,10 +17,9 @@
 	// differ between nodes, so that some ask again soon after an outage.
 	watchWait   = 3 * time.Second
 	watchSpread = 6 * time.Second
-	// minRetry and maxRetry bound the wait after a failed call; it doubles and
-	// is spread.
-	minRetry = 100 * time.Millisecond
-	maxRetry = 2 * time.Second
+	// minRetry and maxRetry bound the wait after a failed call.
+	minRetry = 130 * time.Millisecond
+	maxRetry = 2600 * time.Millisecond
 	// glanceEvery and glanceSpread are the time between two readings of a node
 	// that does not watch, and roleEvery how often it asks whether it should.
 	glanceEvery  = 6 * time.Second
@@ -28,21 +27,23 @@
 	roleEvery    = time.Second
 )
 
+// newRetry gives the waits between calls of the object API that fail.
+func newRetry() *wait.Backoff { return &wait.Backoff{Base: minRetry, Max: maxRetry} }
+
 // runConfiguration keeps the newest configuration in force: it reads it, then
 // watches for changes, or where others do, reads what may be seconds old from
 // time to time. Other nodes tell of newer ones too.
 func (n *Node) runConfiguration(ctx context.Context) error {
-	retry := minRetry
+	retry := newRetry()
 	var at uint64
 	for ctx.Err() == nil {
 		var err error
 		at, err = n.nextConfiguration(ctx, at)
 		if err == nil {
-			retry = minRetry
+			retry.Reset()
 			continue
 		}
-		_ = wait.For(ctx, retry/2+rand.N(retry))
-		retry = min(2*retry, maxRetry)
+		_ = wait.For(ctx, retry.Next())
 	}
 	return nil
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -30,6 +30,7 @@
 	"heathershed/internal/vm/door"
 	"heathershed/internal/vm/lineage"
 	"heathershed/internal/vm/pressure"
+	"heathershed/internal/wait"
 	"heathershed/platform"
 )
 
@@ -75,8 +76,8 @@
 	links      *link.Set
 	traffic    link.Traffic
 
-	// announce has one pending signal when the own record may have changed.
-	announce chan struct{}
+	// announce is sent when the own record may have changed.
+	announce wait.Signal
 	store    storeHealth
 	// listed is set once the other nodes' records were read.
 	listed   atomic.Bool
@@ -111,7 +112,7 @@
 		pressure:    pressure.New(),
 		budget:      newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
 		metrics:     newMetrics(),
-		announce:    make(chan struct{}, 1),
+		announce:    wait.NewSignal(),
 	}
 	n.grace.Store(int64(cfg.Grace))
 	n.target = newTarget(n)
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -58,16 +58,15 @@
 	d := &recordDuty{n: n}
 	d.first(ctx)
 	for ctx.Err() == nil {
-		timer := time.NewTimer(listEvery + rand.N(listSpread))
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-			d.look(ctx)
-		case <-n.announce:
+		changed := n.announce.Within(ctx, listEvery+rand.N(listSpread))
+		switch {
+		case ctx.Err() != nil:
+		case changed:
 			_ = wait.For(ctx, settle)
 			d.write(ctx)
+		default:
+			d.look(ctx)
 		}
-		timer.Stop()
 	}
 	return nil
 }
@@ -76,36 +75,17 @@
 // and reads once more: of two nodes that start together, the one that reads
 // later finds the other.
 func (d *recordDuty) first(ctx context.Context) {
-	d.until(ctx, func() bool { return d.list(ctx) })
+	newRetry().Until(ctx, func() bool { return d.list(ctx) })
 	if !d.known {
-		d.awaitBeat(ctx)
+		d.n.announce.Within(ctx, firstBeat)
 	}
 	if d.own() != d.written {
 		d.write(ctx)
-		d.until(ctx, func() bool { return d.list(ctx) })
+		newRetry().Until(ctx, func() bool { return d.list(ctx) })
 	}
 	d.n.listed.Store(true)
 }
 
-// until repeats try, with a growing wait, until it succeeds.
-func (d *recordDuty) until(ctx context.Context, try func() bool) {
-	retry := minRetry
-	for ctx.Err() == nil && !try() {
-		_ = wait.For(ctx, retry/2+rand.N(retry))
-		retry = min(2*retry, maxRetry)
-	}
-}
-
-func (d *recordDuty) awaitBeat(ctx context.Context) {
-	timer := time.NewTimer(firstBeat)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-d.n.announce:
-	case <-timer.C:
-	}
-}
-
 // own is the record as it should be. Before the first heartbeat the upstream
 // is taken to be the one that the old record names.
 func (d *recordDuty) own() record {
@@ -126,7 +106,7 @@
 
 // write writes the own record where it has changed, until it lies in the store.
 func (d *recordDuty) write(ctx context.Context) {
-	d.until(ctx, func() bool {
+	newRetry().Until(ctx, func() bool {
 		want := d.own()
 		if want == d.written {
 			return true
@@ -274,11 +254,3 @@
 	}
 	d.n.peers.learn(members...)
 }
-
-// wakeRecord has the own record looked at.
-func (n *Node) wakeRecord() {
-	select {
-	case n.announce <- struct{}{}:
-	default:
-	}
-}
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -76,7 +76,7 @@
 	}
 	t.n.putOwn()
 	t.n.tellAll()
-	t.n.wakeRecord()
+	t.n.announce.Send()
 }
 
 // stop closes the door for good and tells the other nodes.
