Node: its signals are those of internal/wait

announceState, demand.signal and awaitRenewal were three spellings of the signal that the sidecar has too. go test -race ./internal/node: ok.

--- a/internal/node/demand.go
+++ b/internal/node/demand.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"heathershed/internal/wait"
 )
 
 const (
@@ -17,7 +19,7 @@
 // demand notes which services and VMs this node's callers have used lately, so
 // that links to them are held. It is safe for concurrent use.
 type demand struct {
-	changed chan struct{} // one pending signal
+	changed wait.Signal
 
 	mu        sync.RWMutex
 	byService map[string]time.Time
@@ -27,7 +29,7 @@
 
 func newDemand() *demand {
 	return &demand{
-		changed:   make(chan struct{}, 1),
+		changed:   wait.NewSignal(),
 		byService: make(map[string]time.Time),
 		byVM:      make(map[string]time.Time),
 		first:     make(map[string]time.Time),
@@ -71,7 +73,7 @@
 	used[name] = now
 	d.mu.Unlock()
 	if !ok {
-		d.signal()
+		d.changed.Send()
 	}
 	return !ok
 }
@@ -86,13 +88,6 @@
 	delete(used, oldest)
 }
 
-func (d *demand) signal() {
-	select {
-	case d.changed <- struct{}{}:
-	default:
-	}
-}
-
 func (d *demand) services() []string { return d.names(d.byService) }
 func (d *demand) vms() []string      { return d.names(d.byVM) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,7 @@
 	"heathershed/internal/vm/admission"
 	"heathershed/internal/vm/pressure"
 	"heathershed/internal/vm/quota"
+	"heathershed/internal/wait"
 )
 
 // retryRatio and retryBurst are the ratio limit beside the chain's budget: at
@@ -76,8 +77,8 @@
 	demand  *demand
 	control *control
 
-	// announce has one pending signal when the own record must be written.
-	announce chan struct{}
+	// announce is sent when the own record must be written.
+	announce wait.Signal
 	// state is the phase of the process, see phase.
 	state atomic.Int32
 	// draining is set while the own upstream says that it drains.
@@ -133,7 +134,7 @@
 		metrics:       newMetrics(),
 		dial:          dialTCP,
 		tracked:       &trackedStore{inner: inner},
-		announce:      make(chan struct{}, 1),
+		announce:      wait.NewSignal(),
 		demand:        newDemand(),
 		stopRequested: make(chan struct{}),
 	}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -83,10 +83,7 @@
 // announceState changes the own record, spreads it and has it written.
 func (n *Node) announceState(s linkpb.MemberState) {
 	n.control.offer(ownEvent{state: s, hasState: true})
-	select {
-	case n.announce <- struct{}{}:
-	default:
-	}
+	n.announce.Send()
 }
 
 // awaitHomesMoved waits until new order ids have other homes. Without the
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -115,27 +115,16 @@
 		if err == nil {
 			base = next
 			n.record(timeline.Event{Kind: timeline.KindLease, Detail: "renewed"})
-			n.awaitRenewal(ctx, membership.RenewEvery-leaseSpread/2+rand.N(leaseSpread))
+			n.announce.Within(ctx, membership.RenewEvery-leaseSpread/2+rand.N(leaseSpread))
 			n.control.offer(ownEvent{renew: true})
 			continue
 		}
 		base = n.readLease(ctx, base)
-		n.awaitRenewal(ctx, leaseRetry)
+		n.announce.Within(ctx, leaseRetry)
 	}
 	return nil
 }
 
-// awaitRenewal waits for d, or until the own state has changed.
-func (n *Node) awaitRenewal(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-n.announce:
-	}
-}
-
 // writeLease writes the own record as it is now.
 func (n *Node) writeLease(ctx context.Context, base platform.Version) (platform.Version, error) {
 	self := n.ownRecord()
