Ending: one copy of the replies that end calls

internal/node and internal/sidecar each had their refuse, their replyOf, their way to carry a time in milliseconds and, in the sending loop, their note that an earlier attempt may have run. One package makes and reads replies now; both use it.

No change of behaviour, but for a negative wait, which the sidecar would have sent as 49 days and is 0 now; none is known to arise. What still differs on purpose: after a lost attempt and a refusal the sidecar answers with the reason of the first (worse), internal/node with that of the last.

--- a/internal/front/message.go
+++ b/internal/front/message.go
@@ -73,8 +73,8 @@
 
 var ownPrefix = []byte("heathershed-")
 
-// passes reports whether a header is passed on to the other end.
-func passes(name []byte) bool {
+// Passes reports whether a header is passed on to the other end.
+func Passes(name []byte) bool {
 	if len(name) >= len(ownPrefix) && bytes.EqualFold(name[:len(ownPrefix)], ownPrefix) {
 		return false
 	}
@@ -97,7 +97,7 @@
 }
 
 // CopyHeaders returns copies of the headers that are passed on.
-func CopyHeaders(h headerSource) []*linkpb.Header { return CopyHeadersIf(h, passes) }
+func CopyHeaders(h headerSource) []*linkpb.Header { return CopyHeadersIf(h, Passes) }
 
 // CopyHeadersIf returns copies of the headers that concern more than one
 // connection and that pass.
--- a/internal/node/caller.go
+++ b/internal/node/caller.go
@@ -10,6 +10,7 @@
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
 	"heathershed/internal/contract/retry"
+	"heathershed/internal/ending"
 	"heathershed/internal/front"
 	"heathershed/internal/order"
 	"heathershed/internal/order/homes"
@@ -68,16 +69,16 @@
 func (n *Node) accept(rc *fasthttp.RequestCtx) (*call, *linkpb.CallReply) {
 	c := &call{root: contract.NewRootID(), received: time.Now()}
 	if phase := n.phase(); phase == phaseStarting || phase == phaseSuperseded {
-		return c, refuse(contract.ReasonNoUpstream, "this node is not serving")
+		return c, ending.Refused(contract.ReasonNoUpstream, "this node is not serving")
 	}
 	in, err := front.ReadHeaders(&rc.Request.Header)
 	if err != nil {
-		return c, refuse(contract.ReasonBadRequest, err.Error())
+		return c, ending.Refused(contract.ReasonBadRequest, err.Error())
 	}
 	current, version := n.catalogue.Current()
 	kind, ok := current.Match(rc.Method(), rc.Path())
 	if !ok {
-		return c, refuse(contract.ReasonUnknownKind, "no catalogue entry for this method and path")
+		return c, ending.Refused(contract.ReasonUnknownKind, "no catalogue entry for this method and path")
 	}
 	c.kind, c.catalogue = kind, version
 	c.class = kind.Class
@@ -113,10 +114,10 @@
 // check refuses what breaks the contract of the kind.
 func (c *call) check(bodySize int) *linkpb.CallReply {
 	if bodySize > c.kind.MaxRequest {
-		return refuse(contract.ReasonTooLarge, "request body over the limit of "+c.kind.Name)
+		return ending.Refused(contract.ReasonTooLarge, "request body over the limit of "+c.kind.Name)
 	}
 	if c.kind.IsOrder() && c.order.IsZero() {
-		return refuse(contract.ReasonBadRequest,
+		return ending.Refused(contract.ReasonBadRequest,
 			c.kind.Name+" runs at most once: give "+contract.HeaderOrder+", a UUID of version 7, or ask "+orderIDPath)
 	}
 	return nil
@@ -128,14 +129,14 @@
 	if in.CallID == "" {
 		grant, ok := n.policy.RootGrant(c.kind.Retries, in.Attempt)
 		if !ok {
-			return refuse(contract.ReasonRetryBudget, "repeats of this request are spent")
+			return ending.Refused(contract.ReasonRetryBudget, "repeats of this request are spent")
 		}
 		c.ledger = n.policy.NewLedger(grant)
 		return nil
 	}
 	p := n.parents.find(in.CallID)
 	if p == nil {
-		return refuse(contract.ReasonParentEnded, "the request that this call belongs to has ended")
+		return ending.Refused(contract.ReasonParentEnded, "the request that this call belongs to has ended")
 	}
 	c.under = p
 	c.root, c.depth, c.ledger = p.root, p.depth+1, p.ledger
@@ -168,7 +169,7 @@
 	if c.level() >= threshold || n.policy.IsBaseline() {
 		return nil
 	}
-	reply := refuse(contract.ReasonOverload, "shed at the front door: "+c.kind.Service+" sheds this level")
+	reply := ending.Refused(contract.ReasonOverload, "shed at the front door: "+c.kind.Service+" sheds this level")
 	reply.RetryAfterMs = n.comeBack(c)
 	n.recordShed(c, reply)
 	return reply
@@ -186,14 +187,6 @@
 	return uint32((comeBackBase + part).Milliseconds())
 }
 
-func refuse(r contract.Reason, detail string) *linkpb.CallReply {
-	return end(contract.NotRun, r, detail)
-}
-
-func end(v contract.Verdict, r contract.Reason, detail string) *linkpb.CallReply {
-	return &linkpb.CallReply{Verdict: uint32(v), Reason: uint32(r), Detail: detail}
-}
-
 func (n *Node) recordEnd(c *call, reply *linkpb.CallReply) {
 	kind := timeline.KindCallEndedBadly
 	if contract.Verdict(reply.Verdict) == contract.Ran && c.order.IsZero() {
--- a/internal/node/order.go
+++ b/internal/node/order.go
@@ -12,6 +12,7 @@
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
 	"heathershed/internal/datacentre/membership"
+	"heathershed/internal/ending"
 	"heathershed/internal/order"
 	"heathershed/internal/order/homes"
 )
@@ -42,9 +43,7 @@
 }
 
 func refuseHome(detail string) *linkpb.CallReply {
-	reply := refuse(contract.ReasonOrderHome, detail)
-	reply.RetryAfterMs = milliseconds(homeRetry)
-	return reply
+	return ending.RefusedFor(homeRetry, contract.ReasonOrderHome, detail)
 }
 
 // answeringHome is the home of an id, or its successor where the home is known
@@ -133,18 +132,18 @@
 // checkHome refuses an order that this node can't judge.
 func (n *Node) checkHome(req *linkpb.CallRequest) (*contract.Kind, *linkpb.CallReply) {
 	if req.TargetIncarnation != 0 && req.TargetIncarnation != n.incarnation {
-		return nil, refuse(contract.ReasonStaleTarget, n.cfg.VM+" was restarted")
+		return nil, ending.Refused(contract.ReasonStaleTarget, n.cfg.VM+" was restarted")
 	}
 	if n.phase() == phaseSuperseded {
-		return nil, refuse(contract.ReasonStaleTarget, n.cfg.VM+" has a newer process")
+		return nil, ending.Refused(contract.ReasonStaleTarget, n.cfg.VM+" has a newer process")
 	}
 	current, _ := n.catalogue.Current()
 	kind, ok := current.Kind(req.Kind)
 	if !ok || kind.Service != n.cfg.Service || !kind.IsOrder() {
-		return nil, refuse(contract.ReasonUnknownKind, "catalogue of "+n.cfg.VM+" has no order kind "+req.Kind)
+		return nil, ending.Refused(contract.ReasonUnknownKind, "catalogue of "+n.cfg.VM+" has no order kind "+req.Kind)
 	}
 	if len(req.OrderId) != len(contract.OrderID{}) || len(req.RootId) != len(contract.RootID{}) {
-		return nil, refuse(contract.ReasonBadRequest, "order id or root id")
+		return nil, ending.Refused(contract.ReasonBadRequest, "order id or root id")
 	}
 	return kind, nil
 }
@@ -212,7 +211,7 @@
 			reply, vm = n.attempt(ctx, c, number, tried, role)
 		}
 		tried[number%maxExclude] = vm
-		if contract.Verdict(reply.Verdict) == contract.Ran {
+		if ending.Ran(reply) {
 			n.ratio.Success()
 			return reply
 		}
@@ -243,10 +242,10 @@
 	if d.Kind == order.DecisionRecorded {
 		return replyOfAnswer(d.Answer)
 	}
-	reply := end(d.Verdict, d.Reason, "")
-	reply.RetryAfterMs = milliseconds(d.RetryAfter)
+	reply := ending.Of(d.Verdict, d.Reason, "")
+	reply.RetryAfterMs = ending.Milliseconds(d.RetryAfter)
 	if d.Kind == order.DecisionRunning {
-		reply.RetryAfterMs = max(reply.RetryAfterMs, milliseconds(homeRetry))
+		reply.RetryAfterMs = max(reply.RetryAfterMs, ending.Milliseconds(homeRetry))
 	}
 	return reply
 }
@@ -266,7 +265,7 @@
 }
 
 func replyOfAnswer(a order.Answer) *linkpb.CallReply {
-	reply := end(a.Verdict, a.Reason, "")
+	reply := ending.Of(a.Verdict, a.Reason, "")
 	reply.Status, reply.Body, reply.Vm = uint32(a.Status), a.Body, a.VM
 	for _, h := range a.Headers {
 		reply.Headers = append(reply.Headers, &linkpb.Header{Name: h[0], Value: h[1]})
--- a/internal/node/send.go
+++ b/internal/node/send.go
@@ -9,6 +9,7 @@
 	"heathershed/internal/contract"
 	"heathershed/internal/contract/retry"
 	"heathershed/internal/datacentre/routing"
+	"heathershed/internal/ending"
 	"heathershed/internal/timeline"
 	"heathershed/internal/wait"
 )
@@ -20,23 +21,18 @@
 // allows it and the budget of the root request has a retry left.
 func (n *Node) send(ctx context.Context, c *call) *linkpb.CallReply {
 	var tried [maxExclude]string
-	mayHaveRun := false
+	var failed ending.Attempts
 	for number := 0; ; number++ {
 		reply, vm := n.attempt(ctx, c, number, tried, linkpb.OrderRole_ORDER_ROLE_NONE)
 		tried[number%maxExclude] = vm
-		verdict := contract.Verdict(reply.Verdict)
-		if verdict == contract.Ran {
+		if ending.Ran(reply) {
 			n.ratio.Success()
 			return reply
 		}
-		mayHaveRun = mayHaveRun || verdict == contract.MayHaveRun
-		if n.again(ctx, c, number, reply) {
-			continue
+		failed.Add(reply)
+		if !n.again(ctx, c, number, reply) {
+			return failed.Conclude(reply)
 		}
-		if mayHaveRun { // an earlier attempt, even where the last one was refused
-			reply.Verdict = uint32(contract.MayHaveRun)
-		}
-		return reply
 	}
 }
 
@@ -79,7 +75,7 @@
 		Random:  rand.Uint64(),
 	})
 	if reason != contract.ReasonNone {
-		return refuse(reason, "no upstream of "+c.kind.Service+" can be chosen"), ""
+		return ending.Refused(reason, "no upstream of "+c.kind.Service+" can be chosen"), ""
 	}
 	n.awaitOpening(ctx, c.kind.Service, choice.Target.VM)
 	reply := n.at(ctx, c, choice.Target.VM, choice.Target.Incarnation, number, role)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -9,6 +9,7 @@
 
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
+	"heathershed/internal/ending"
 	"heathershed/internal/front"
 	"heathershed/internal/timeline"
 	"heathershed/internal/upstream"
@@ -48,8 +49,7 @@
 	}
 	leave, retryAfter, ok := n.quota.Enter(kind, n.gate.Load().Limit)
 	if !ok {
-		reply := refuse(contract.ReasonLimit, "limit of "+kind.Name+" or of its owner "+kind.Owner)
-		reply.RetryAfterMs = milliseconds(retryAfter)
+		reply := ending.RefusedFor(retryAfter, contract.ReasonLimit, "limit of "+kind.Name+" or of its owner "+kind.Owner)
 		n.recordRefusal(req, kind, reply)
 		return reply
 	}
@@ -61,8 +61,7 @@
 		Deadline: deadline,
 	})
 	if refusal != nil {
-		reply := refuse(refusal.Reason, "not admitted at "+n.cfg.VM)
-		reply.RetryAfterMs = milliseconds(refusal.RetryAfter)
+		reply := ending.RefusedFor(refusal.RetryAfter, refusal.Reason, "not admitted at "+n.cfg.VM)
 		n.recordRefusal(req, kind, reply)
 		return reply
 	}
@@ -72,26 +71,26 @@
 // checkRequest refuses what this node must not run.
 func (n *Node) checkRequest(req *linkpb.CallRequest) (*contract.Kind, *linkpb.CallReply) {
 	if req.TargetIncarnation != 0 && req.TargetIncarnation != n.incarnation {
-		return nil, refuse(contract.ReasonStaleTarget, n.cfg.VM+" was restarted")
+		return nil, ending.Refused(contract.ReasonStaleTarget, n.cfg.VM+" was restarted")
 	}
 	switch n.phase() {
 	case phaseSuperseded:
-		return nil, refuse(contract.ReasonStaleTarget, n.cfg.VM+" has a newer process")
+		return nil, ending.Refused(contract.ReasonStaleTarget, n.cfg.VM+" has a newer process")
 	case phaseLeaving:
 		if !n.inNotice() {
-			return nil, refuse(contract.ReasonLeaving, n.cfg.VM+" is leaving")
+			return nil, ending.Refused(contract.ReasonLeaving, n.cfg.VM+" is leaving")
 		}
 	}
 	current, version := n.catalogue.Current()
 	kind, ok := current.Kind(req.Kind)
 	if !ok && req.CatalogueVersion > version {
-		return nil, refuse(contract.ReasonStaleTarget, "catalogue of "+n.cfg.VM+" is older than the call's")
+		return nil, ending.Refused(contract.ReasonStaleTarget, "catalogue of "+n.cfg.VM+" is older than the call's")
 	}
 	if !ok || kind.Service != n.cfg.Service {
-		return nil, refuse(contract.ReasonUnknownKind, "catalogue of "+n.cfg.VM+" has no kind "+req.Kind+" of "+n.cfg.Service)
+		return nil, ending.Refused(contract.ReasonUnknownKind, "catalogue of "+n.cfg.VM+" has no kind "+req.Kind+" of "+n.cfg.Service)
 	}
 	if len(req.RootId) != len(contract.RootID{}) {
-		return nil, refuse(contract.ReasonBadRequest, "root id")
+		return nil, ending.Refused(contract.ReasonBadRequest, "root id")
 	}
 	return kind, nil
 }
@@ -122,7 +121,7 @@
 	n.parents.end(id)
 	spent := ledger.Close()
 	permit.Release(admission.Result{Verdict: out.Verdict, Reason: out.Reason, Latency: time.Since(began)})
-	reply := replyOf(out, answer)
+	reply := ending.AtUpstream(out, answer, front.Passes)
 	reply.RetriesSpent = uint32(spent)
 	return reply
 }
@@ -146,18 +145,6 @@
 	hreq.SetBody(req.Body)
 }
 
-func replyOf(out upstream.Outcome, answer *fasthttp.Response) *linkpb.CallReply {
-	reply := end(out.Verdict, out.Reason, out.Detail)
-	reply.RetryAfterMs = milliseconds(out.RetryAfter)
-	if out.Verdict != contract.Ran {
-		return reply
-	}
-	reply.Status = uint32(answer.StatusCode())
-	reply.Headers = front.CopyHeaders(&answer.Header)
-	reply.Body = append([]byte(nil), answer.Body()...)
-	return reply
-}
-
 // load is what rides back on each reply.
 func (n *Node) load(kind string) *linkpb.Load {
 	l := n.gate.Load()
@@ -173,10 +160,6 @@
 	}
 }
 
-func milliseconds(d time.Duration) uint32 {
-	return uint32(max(d, 0).Milliseconds())
-}
-
 func (n *Node) recordRefusal(req *linkpb.CallRequest, kind *contract.Kind, reply *linkpb.CallReply) {
 	n.metrics.shed(contract.Class(req.Class), contract.Reason(reply.Reason))
 	e := timeline.Event{
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -11,6 +11,7 @@
 
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
+	"heathershed/internal/ending"
 	"heathershed/internal/front"
 	"heathershed/internal/routes"
 	"heathershed/platform"
@@ -72,7 +73,7 @@
 	threshold := n.pressure.Threshold(time.Now(), c.service, c.route.Name)
 	if !c.inner && c.level < threshold {
 		n.logShed(c, threshold)
-		return refuse(contract.ReasonOverload, "shed at the front")
+		return ending.Refused(contract.ReasonOverload, "shed at the front")
 	}
 	return n.send(ctx, c)
 }
@@ -87,25 +88,25 @@
 		c.deadline = now.Add(in.Remaining)
 	}
 	if err != nil {
-		return c, refuse(contract.ReasonBadRequest, err.Error())
+		return c, ending.Refused(contract.ReasonBadRequest, err.Error())
 	}
 	if front.HasTwoLengths(&rc.Request.Header) {
 		rc.SetConnectionClose()
-		return c, refuse(contract.ReasonBadRequest, "both a length and chunks")
+		return c, ending.Refused(contract.ReasonBadRequest, "both a length and chunks")
 	}
 	table := n.table.Load()
 	if table == nil {
-		return c, refuse(contract.ReasonNoUpstream, "no configuration is known yet")
+		return c, ending.Refused(contract.ReasonNoUpstream, "no configuration is known yet")
 	}
 	c.host = string(rc.Host())
 	c.uri = string(rc.RequestURI())
 	path, _, _ := strings.Cut(c.uri, "?")
 	route, ok := table.Match(c.host, path)
 	if !ok {
-		return c, refuse(contract.ReasonUnknownKind, "no route of this host and path")
+		return c, ending.Refused(contract.ReasonUnknownKind, "no route of this host and path")
 	}
 	if limit := table.Limits.BodyBytes; limit > 0 && len(rc.Request.Body()) > limit {
-		return c, refuse(contract.ReasonTooLarge, "request body over the limit")
+		return c, ending.Refused(contract.ReasonTooLarge, "request body over the limit")
 	}
 	c.route = route
 	c.service = n.split.Next(route)
@@ -138,19 +139,9 @@
 	return contract.LevelOf(contract.Class(class), uint16(xxhash.Sum64String(attempt)%contract.RanksPerClass))
 }
 
-// refuse is the reply to a request that has not run.
-func refuse(reason contract.Reason, detail string) *linkpb.CallReply {
-	return &linkpb.CallReply{Verdict: uint32(contract.NotRun), Reason: uint32(reason), Detail: detail}
-}
-
-// lost is the reply to a request that may have run.
-func lost(reason contract.Reason, detail string) *linkpb.CallReply {
-	return &linkpb.CallReply{Verdict: uint32(contract.MayHaveRun), Reason: uint32(reason), Detail: detail}
-}
-
 // answer writes the reply of a call to its client.
 func (n *Node) answer(rc *fasthttp.RequestCtx, c *call, reply *linkpb.CallReply) {
-	if contract.Verdict(reply.Verdict) != contract.Ran {
+	if !ending.Ran(reply) {
 		n.answerOwn(rc, c, reply)
 		return
 	}
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -7,6 +7,7 @@
 
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
+	"heathershed/internal/ending"
 	"heathershed/internal/fleet"
 )
 
@@ -27,7 +28,7 @@
 	n.budget.request(time.Now(), c.inner)
 	var tried []string
 	var last *linkpb.CallReply
-	arrived, mayHaveRun := 0, false
+	var failed ending.Attempts
 	for len(tried) < maxDoors {
 		choice, ok := n.choose(ctx, c, tried)
 		if !ok {
@@ -35,58 +36,40 @@
 		}
 		tried = append(tried, choice.VM)
 		reply := n.offer(ctx, c, choice)
-		if contract.Verdict(reply.Verdict) == contract.Ran {
+		if ending.Ran(reply) {
 			return reply
 		}
 		last = worse(last, reply)
-		if hasArrived(reply) {
-			arrived++
-		}
-		mayHaveRun = mayHaveRun || contract.Verdict(reply.Verdict) == contract.MayHaveRun
-		if !n.again(ctx, c, arrived, mayHaveRun) {
+		failed.Add(reply)
+		if !n.again(ctx, c, failed) {
 			break
 		}
-		n.logAgain(c, choice.VM, reply, arrived)
+		n.logAgain(c, choice.VM, reply, failed.Arrived)
 	}
 	if last == nil {
-		return refuse(contract.ReasonNoUpstream, "no upstream of the service can be reached")
-	}
-	if mayHaveRun {
-		last.Verdict = uint32(contract.MayHaveRun)
+		return ending.Refused(contract.ReasonNoUpstream, "no upstream of the service can be reached")
 	}
-	return last
+	return failed.Conclude(last)
 }
 
 // worse keeps the reply that says more about what happened.
 func worse(a, b *linkpb.CallReply) *linkpb.CallReply {
-	if a != nil && contract.Verdict(a.Verdict) == contract.MayHaveRun && contract.Verdict(b.Verdict) == contract.NotRun {
+	if a != nil && ending.MayHaveRun(a) && !ending.MayHaveRun(b) {
 		return a
 	}
 	return b
 }
 
-// hasArrived reports whether an attempt reached an upstream, run or not.
-func hasArrived(reply *linkpb.CallReply) bool {
-	if contract.Verdict(reply.Verdict) == contract.MayHaveRun {
-		return true
-	}
-	switch contract.Reason(reply.Reason) {
-	case contract.ReasonUpstreamRefused, contract.ReasonStaleTarget:
-		return true
-	}
-	return false
-}
-
 // again decides on another attempt. What no upstream has seen costs nothing;
 // else the attempts of the route and the budget bound it.
-func (n *Node) again(ctx context.Context, c *call, arrived int, mayHaveRun bool) bool {
-	if ctx.Err() != nil || (mayHaveRun && !c.route.Idempotent) {
+func (n *Node) again(ctx context.Context, c *call, failed ending.Attempts) bool {
+	if ctx.Err() != nil || (failed.MayHaveRun && !c.route.Idempotent) {
 		return false
 	}
-	if arrived == 0 {
+	if failed.Arrived == 0 {
 		return true
 	}
-	if arrived >= c.route.Attempts || !n.budget.repeat(time.Now(), c.inner) {
+	if failed.Arrived >= c.route.Attempts || !n.budget.repeat(time.Now(), c.inner) {
 		return false
 	}
 	n.metrics.repeats.Inc(1)
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -8,7 +8,7 @@
 
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
-	"heathershed/internal/front"
+	"heathershed/internal/ending"
 	"heathershed/internal/upstream"
 	"heathershed/internal/vm/door"
 	"heathershed/internal/vm/instance"
@@ -36,22 +36,20 @@
 
 func (n *Node) enter(ctx context.Context, req *linkpb.CallRequest, now, deadline time.Time) *linkpb.CallReply {
 	if n.stopping.Load() {
-		return refuse(contract.ReasonLeaving, "the node stops")
+		return ending.Refused(contract.ReasonLeaving, "the node stops")
 	}
 	if state := n.target.state(); !state.Ready || state.Service != req.Service {
-		return refuse(contract.ReasonLeaving, "no upstream of the service takes work here")
+		return ending.Refused(contract.ReasonLeaving, "no upstream of the service takes work here")
 	}
 	permit, refusal := n.gate.Enter(ctx, now, doorRequest(req, now, deadline))
 	if refusal != nil {
-		reply := refuse(refusal.Reason, "no room")
 		n.metrics.turnedAway(refusal.Reason)
-		reply.RetryAfterMs = uint32(refusal.Wait.Milliseconds())
-		return reply
+		return ending.RefusedFor(refusal.Wait, refusal.Reason, "no room")
 	}
 	started := time.Now()
 	reply := n.run(ctx, req, deadline)
 	ended := time.Now()
-	n.gate.Done(ended, permit, contract.Verdict(reply.Verdict) == contract.Ran)
+	n.gate.Done(ended, permit, ending.Ran(reply))
 	n.metrics.ran(started.Sub(now), ended.Sub(started))
 	n.logRun(req, reply, started.Sub(now), ended.Sub(started))
 	return reply
@@ -78,11 +76,11 @@
 func (n *Node) run(ctx context.Context, req *linkpb.CallRequest, deadline time.Time) *linkpb.CallReply {
 	state := n.target.state()
 	if !state.Ready || state.Service != req.Service {
-		return refuse(contract.ReasonLeaving, "the upstream has left")
+		return ending.Refused(contract.ReasonLeaving, "the upstream has left")
 	}
 	if !req.Idempotent {
 		if !n.handed.take(req.AttemptId) {
-			return lost(contract.ReasonOrderRunning, "an order of this id was handed over already")
+			return ending.Of(contract.MayHaveRun, contract.ReasonOrderRunning, "an order of this id was handed over already")
 		}
 		// An order that has begun is not cut off by a client that leaves.
 		ctx = context.WithoutCancel(ctx)
@@ -108,7 +106,7 @@
 	if out.Verdict == contract.NotRun && !req.Idempotent {
 		n.handed.give(req.AttemptId)
 	}
-	return replyOf(out, answer)
+	return ending.AtUpstream(out, answer, platform.PassesAnswer)
 }
 
 // maxAnswer bounds the body of an answer, in bytes: one message of a link.
@@ -142,22 +140,6 @@
 	}
 }
 
-func replyOf(out upstream.Outcome, answer *fasthttp.Response) *linkpb.CallReply {
-	reply := &linkpb.CallReply{
-		Verdict:      uint32(out.Verdict),
-		Reason:       uint32(out.Reason),
-		Detail:       out.Detail,
-		RetryAfterMs: uint32(out.RetryAfter.Milliseconds()),
-	}
-	if out.Verdict != contract.Ran {
-		return reply
-	}
-	reply.Status = uint32(answer.StatusCode())
-	reply.Headers = front.CopyHeadersIf(&answer.Header, platform.PassesAnswer)
-	reply.Body = append([]byte(nil), answer.Body()...)
-	return reply
-}
-
 // load is what rides back on each reply.
 func (n *Node) load(kind string) *linkpb.Load {
 	l := n.gate.Load(time.Now(), kind)
