Node: the names of member states are those of membership

memberState was a second copy of membership.StateName. The two differ for a state that no record can have (Check refuses it): "up" before, its number now. go test -race ./internal/node: ok.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -197,19 +197,6 @@
 		Kind:    timeline.KindMember,
 		Peer:    m.Vm,
 		Service: m.Service,
-		Detail:  memberState(m.State),
+		Detail:  membership.StateName(m.State),
 	})
 }
-
-func memberState(s linkpb.MemberState) string {
-	switch s {
-	case linkpb.MemberState_MEMBER_STATE_LEAVING:
-		return "leaving"
-	case linkpb.MemberState_MEMBER_STATE_LEFT:
-		return "left"
-	case linkpb.MemberState_MEMBER_STATE_LAPSED:
-		return "lapsed"
-	default:
-		return "up"
-	}
-}
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -6,6 +6,7 @@
 
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
+	"heathershed/internal/datacentre/membership"
 	"heathershed/internal/datacentre/routing"
 	"heathershed/internal/report"
 	"heathershed/internal/timeline"
@@ -74,7 +75,7 @@
 	list := n.control.members.Load()
 	counts := make(map[string]int)
 	for _, m := range list.all {
-		counts[memberState(m.State)]++
+		counts[membership.StateName(m.State)]++
 	}
 	return report.Members{ByState: counts, Digest: list.digest, Watcher: n.control.watcher.Load()}
 }
@@ -88,7 +89,7 @@
 			Datacentre:   m.Datacentre,
 			Region:       m.Region,
 			AdminAddress: m.AdminAddress,
-			State:        memberState(m.State),
+			State:        membership.StateName(m.State),
 		})
 	}
 	return members
