--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -14,8 +14,12 @@
 	"heathershed/internal/vm/admission"
 )
 
-// reportEvery is how often tally hands its values to the reporter.
-const reportEvery = time.Second
+const (
+	// reportEvery is how often tally hands its values to the reporter.
+	reportEvery = time.Second
+	// buckets gives the histogram: 1 ms to 8 s by doubling.
+	buckets = 14
+)
 
 // metrics holds every metric of a node; docs/METRICS.md lists them. All scopes
 // are made at the start, none on the way of a call.
@@ -44,7 +48,7 @@
 			}).Counter("calls_shed")
 		}
 	}
-	m.latency = scope.Histogram("call_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14))
+	m.latency = telemetry.Durations(scope, "call_seconds", buckets)
 	m.retries = scope.Counter("retries")
 	m.inFlight = scope.Gauge("admission_in_flight")
 	m.queued = scope.Gauge("admission_queued")
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -18,9 +18,8 @@
 const (
 	// reportEvery is how often tally hands its values to the reporter.
 	reportEvery = 2 * time.Second
-	// smallestBucket and buckets give the histograms: 1 ms to 16 s by doubling.
-	smallestBucket = time.Millisecond
-	buckets        = 15
+	// buckets gives the histograms: 1 ms to 16 s by doubling.
+	buckets = 15
 )
 
 // metrics holds every metric of a node; docs/METRICS.md lists them. All scopes
@@ -50,9 +49,9 @@
 		scrapes:   handler,
 		ends:      telemetry.NewEnds(scope, "requests_ended"),
 		repeats:   scope.Counter("requests_repeated"),
-		latency:   histogram(scope, "request_seconds"),
-		wait:      histogram(scope, "door_wait_seconds"),
-		service:   histogram(scope, "upstream_seconds"),
+		latency:   telemetry.Durations(scope, "request_seconds", buckets),
+		wait:      telemetry.Durations(scope, "door_wait_seconds", buckets),
+		service:   telemetry.Durations(scope, "upstream_seconds", buckets),
 		store:     make(map[storeOutcome]tally.Counter),
 		inFlight:  scope.Gauge("door_in_flight"),
 		waiting:   scope.Gauge("door_waiting"),
@@ -72,10 +71,6 @@
 	return m
 }
 
-func histogram(scope tally.Scope, name string) tally.Histogram {
-	return scope.Histogram(name, tally.MustMakeExponentialDurationBuckets(smallestBucket, 2, buckets))
-}
-
 func (m *metrics) handler() http.Handler { return m.scrapes }
 
 // ended counts the end of a request that a client or the own upstream made.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -28,6 +28,14 @@
 	return scope, reporter.HTTPHandler()
 }
 
+// fastest is the upper bound of a histogram's first bucket.
+const fastest = time.Millisecond
+
+// Durations returns a histogram whose buckets double from 1 ms on.
+func Durations(scope tally.Scope, name string, buckets int) tally.Histogram {
+	return scope.Histogram(name, tally.MustMakeExponentialDurationBuckets(fastest, 2, buckets))
+}
+
 // Ends counts how calls ended, by verdict and reason.
 type Ends [3][contract.NumReasons]tally.Counter
 
