Endpoint: one copy of listening and dialling

Both nodes had the same dialTCP and their own list of listeners. Where one of them could not be opened, those before it stayed open until the process ended; now all are opened or none. Error texts are the same. Its test covers a taken address. go test -race of endpoint, node and sidecar: ok.

--- /dev/null
+++ b/internal/endpoint/endpoint_test.go
@@ -0,0 +1,31 @@
+package endpoint
+
+import (
+	"net"
+	"strings"
+	"testing"
+)
+
+func TestListenOpensAllOrNone(t *testing.T) {
+	var first, second net.Listener
+	if err := Listen(Wanted{"first", "127.0.0.1:0", &first}); err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	taken := first.Addr().String()
+	c, err := Dial(t.Context(), taken)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+
+	var none net.Listener
+	err = Listen(Wanted{"second", "127.0.0.1:0", &second}, Wanted{"third", taken, &none})
+	if err == nil || !strings.HasPrefix(err.Error(), "third: ") || none != nil {
+		t.Fatalf("a taken address: %v, listener %v", err, none)
+	}
+	if c, err := second.Accept(); err == nil {
+		c.Close()
+		t.Error("the other listener stays open")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"heathershed/internal/catalogue"
 	"heathershed/internal/contract/retry"
 	"heathershed/internal/datacentre/routing"
+	"heathershed/internal/endpoint"
 	"heathershed/internal/front"
 	"heathershed/internal/link"
 	"heathershed/internal/order"
@@ -132,7 +133,7 @@
 		parents:       newParents(),
 		events:        timeline.NewRecorder(cfg.VM, cfg.TimelineEvents, time.Now),
 		metrics:       newMetrics(),
-		dial:          dialTCP,
+		dial:          endpoint.Dial,
 		tracked:       &trackedStore{inner: inner},
 		announce:      wait.NewSignal(),
 		demand:        newDemand(),
@@ -153,11 +154,6 @@
 	return n, nil
 }
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", address)
-}
-
 // baselineRetries is the number of retries per hop of the baseline.
 const baselineRetries = 3
 
@@ -239,16 +235,12 @@
 type listeners struct{ front, link, admin net.Listener }
 
 func (n *Node) listen() (l listeners, err error) {
-	if l.front, err = net.Listen("tcp", n.cfg.Front); err != nil {
-		return l, errors.Wrap(err, "front")
-	}
-	if l.link, err = net.Listen("tcp", n.cfg.Link); err != nil {
-		return l, errors.Wrap(err, "link")
-	}
-	if l.admin, err = net.Listen("tcp", n.cfg.Admin); err != nil {
-		return l, errors.Wrap(err, "admin")
-	}
-	return l, nil
+	err = endpoint.Listen(
+		endpoint.Wanted{Name: "front", Address: n.cfg.Front, Listener: &l.front},
+		endpoint.Wanted{Name: "link", Address: n.cfg.Link, Listener: &l.link},
+		endpoint.Wanted{Name: "admin", Address: n.cfg.Admin, Listener: &l.admin},
+	)
+	return l, err
 }
 
 func (n *Node) startDuties(ctx context.Context, group *errgroup.Group, l listeners) {
--- a/internal/node/partition_test.go
+++ b/internal/node/partition_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"heathershed/internal/contract"
+	"heathershed/internal/endpoint"
 )
 
 // partition cuts the links between two halves of a fleet.
@@ -35,7 +36,7 @@
 		if p.on && crosses {
 			return nil, errCut
 		}
-		c, err := dialTCP(ctx, address)
+		c, err := endpoint.Dial(ctx, address)
 		if err == nil {
 			p.conns = append(p.conns, cutConn{c, crosses})
 		}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -19,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"heathershed/internal/endpoint"
 	"heathershed/internal/fleet"
 	"heathershed/internal/front"
 	"heathershed/internal/link"
@@ -137,7 +138,7 @@
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, running := errgroup.WithContext(running)
-	n.links = link.NewSet(running, group, n, &n.traffic, dialTCP)
+	n.links = link.NewSet(running, group, n, &n.traffic, endpoint.Dial)
 	group.Go(func() error { return n.front.Serve(l.clients) })
 	group.Go(func() error { return n.server.Serve(l.link) })
 	group.Go(func() error { return n.ready.Serve(l.ready) })
@@ -168,28 +169,15 @@
 		"retry_window_ms", cfg.RetryWindow.Milliseconds(), "grace_ms", cfg.Grace.Milliseconds())
 }
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", address)
-}
-
 type listeners struct{ clients, link, ready, heartbeats, metrics net.Listener }
 
 func (n *Node) listen() (l listeners, err error) {
-	for _, at := range []struct {
-		to      *net.Listener
-		address string
-		key     string
-	}{
-		{&l.clients, n.cfg.Clients, "clients"},
-		{&l.link, n.cfg.Link, "link"},
-		{&l.ready, n.cfg.Ready, "ready"},
-		{&l.heartbeats, n.cfg.Heartbeats, "heartbeats"},
-		{&l.metrics, n.cfg.Metrics, "metrics"},
-	} {
-		if *at.to, err = net.Listen("tcp", at.address); err != nil {
-			return l, errors.Wrapf(err, "[addresses] %s", at.key)
-		}
-	}
-	return l, nil
+	err = endpoint.Listen(
+		endpoint.Wanted{Name: "[addresses] clients", Address: n.cfg.Clients, Listener: &l.clients},
+		endpoint.Wanted{Name: "[addresses] link", Address: n.cfg.Link, Listener: &l.link},
+		endpoint.Wanted{Name: "[addresses] ready", Address: n.cfg.Ready, Listener: &l.ready},
+		endpoint.Wanted{Name: "[addresses] heartbeats", Address: n.cfg.Heartbeats, Listener: &l.heartbeats},
+		endpoint.Wanted{Name: "[addresses] metrics", Address: n.cfg.Metrics, Listener: &l.metrics},
+	)
+	return l, err
 }
