Lookups go on elsewhere beside an attempt whose link is taken for dead

Now Set.Call tells of the suspicion, and both nodes try a lookup at another upstream, within its attempts and the budget of repeats, while the first attempt is still listened to; the first whole answer is taken, the other attempt is cancelled. Orders wait for their answer. internal/hedge holds the race; its table covers who answers first, refusals on either side and what may have run.

go test -race of hedge, node and sidecar: ok.

--- /dev/null
+++ b/internal/hedge/hedge_test.go
@@ -0,0 +1,78 @@
+package hedge
+
+import (
+	"context"
+	"testing"
+
+	linkpb "heathershed/api/link"
+	"heathershed/internal/contract"
+	"heathershed/internal/ending"
+)
+
+var (
+	ran     = &linkpb.CallReply{Verdict: uint32(contract.Ran), Status: 200}
+	lost    = ending.Of(contract.MayHaveRun, contract.ReasonDeadline, "")
+	refused = ending.Refused(contract.ReasonOverload, "")
+)
+
+// after answers once the channel is closed or the context ends.
+func after(ctx context.Context, c chan struct{}, reply *linkpb.CallReply) *linkpb.CallReply {
+	select {
+	case <-c:
+		return reply
+	case <-ctx.Done():
+		return ending.Of(contract.MayHaveRun, contract.ReasonCancelled, "")
+	}
+}
+
+func TestFirstWholeAnswerIsTaken(t *testing.T) {
+	now, never := make(chan struct{}), make(chan struct{})
+	close(now)
+	cases := []struct {
+		name                string
+		suspected           bool
+		firstAt, secondAt   chan struct{}
+		first, second, want *linkpb.CallReply
+	}{
+		{"not suspected", false, now, never, lost, ran, lost},
+		{"the suspected one answers first", true, now, never, ran, ran, ran},
+		{"the second one answers first", true, never, now, lost, ran, ran},
+		{"the second one is refused", true, now, now, ran, refused, ran},
+		{"both are refused", true, now, now, refused, refused, refused},
+		{"first may have run", true, now, now, lost, refused, lost},
+		{"second may have run", true, now, now, refused, lost, lost},
+		{"no second one", true, now, now, lost, nil, lost},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			first := func(ctx context.Context, suspect func()) (*linkpb.CallReply, bool) {
+				if c.suspected {
+					go suspect()
+				}
+				return after(ctx, c.firstAt, c.first), c.suspected
+			}
+			second := func(ctx context.Context) *linkpb.CallReply { return after(ctx, c.secondAt, c.second) }
+			got, suspected := Run(t.Context(), first, second)
+			if got != c.want || suspected != c.suspected {
+				t.Errorf("got %v, suspected %v; want %v, %v", got, suspected, c.want, c.suspected)
+			}
+		})
+	}
+}
+
+func TestTheLosingAttemptIsCancelled(t *testing.T) {
+	cancelled := make(chan struct{})
+	first := func(_ context.Context, suspect func()) (*linkpb.CallReply, bool) {
+		go suspect()
+		return ran, true
+	}
+	second := func(ctx context.Context) *linkpb.CallReply {
+		<-ctx.Done()
+		close(cancelled)
+		return lost
+	}
+	if got, _ := Run(t.Context(), first, second); got != ran {
+		t.Fatalf("got %v, want the first attempt's answer", got)
+	}
+	<-cancelled
+}
--- a/internal/node/order.go
+++ b/internal/node/order.go
@@ -36,7 +36,7 @@
 	if home.VM != n.cfg.VM && !n.awaitLink(ctx, home.VM) {
 		return refuseHome("no link to " + home.VM + ", the home of this order id")
 	}
-	reply := n.at(ctx, c, home.VM, home.Incarnation, 0, linkpb.OrderRole_ORDER_ROLE_HOME)
+	reply, _ := n.at(ctx, c, home.VM, home.Incarnation, 0, linkpb.OrderRole_ORDER_ROLE_HOME, nil)
 	c.judged = reply.Load != nil
 	n.observe(time.Now(), c, reply)
 	return reply
@@ -201,21 +201,20 @@
 // at another one.
 func (n *Node) execute(ctx context.Context, c *call) *linkpb.CallReply {
 	const role = linkpb.OrderRole_ORDER_ROLE_EXECUTE
-	var tried [maxExclude]string
-	for number := 0; ; number++ {
+	s := &sending{}
+	for {
 		var reply *linkpb.CallReply
-		vm := n.cfg.VM
-		if number == 0 && n.takesWork() {
-			reply = n.at(ctx, c, vm, n.incarnation, number, role)
+		if s.number == 0 && n.takesWork() {
+			s.chosen(n.cfg.VM)
+			reply, _ = n.at(ctx, c, n.cfg.VM, n.incarnation, 0, role, nil)
 		} else {
-			reply, vm = n.attempt(ctx, c, number, tried, role)
+			reply, _ = n.attempt(ctx, c, s, role)
 		}
-		tried[number%maxExclude] = vm
 		if ending.Ran(reply) {
 			n.ratio.Success()
 			return reply
 		}
-		if !n.again(ctx, c, number, reply) {
+		if !n.again(ctx, c, s.number-1, reply) {
 			return reply
 		}
 	}
--- a/internal/node/send.go
+++ b/internal/node/send.go
@@ -10,6 +10,7 @@
 	"heathershed/internal/contract/retry"
 	"heathershed/internal/datacentre/routing"
 	"heathershed/internal/ending"
+	"heathershed/internal/hedge"
 	"heathershed/internal/timeline"
 	"heathershed/internal/wait"
 )
@@ -17,21 +18,40 @@
 // maxExclude is how many VMs a call remembers not to try again.
 const maxExclude = 4
 
+// sending is what the attempts of one call have come to.
+type sending struct {
+	// number counts the attempts that were made.
+	number int
+	tried  [maxExclude]string
+	failed ending.Attempts
+}
+
+// chosen notes that an attempt goes to a VM.
+func (s *sending) chosen(vm string) {
+	s.tried[s.number%maxExclude] = vm
+	s.number++
+}
+
 // send finds an upstream for the call, and another one where the first answer
 // allows it and the budget of the root request has a retry left.
 func (n *Node) send(ctx context.Context, c *call) *linkpb.CallReply {
-	var tried [maxExclude]string
-	var failed ending.Attempts
-	for number := 0; ; number++ {
-		reply, vm := n.attempt(ctx, c, number, tried, linkpb.OrderRole_ORDER_ROLE_NONE)
-		tried[number%maxExclude] = vm
+	return n.sendOn(ctx, c, &sending{})
+}
+
+// sendOn goes on with a call of which some attempts may have been made.
+func (n *Node) sendOn(ctx context.Context, c *call, s *sending) *linkpb.CallReply {
+	for {
+		reply, suspected := n.attempt(ctx, c, s, linkpb.OrderRole_ORDER_ROLE_NONE)
 		if ending.Ran(reply) {
 			n.ratio.Success()
 			return reply
 		}
-		failed.Add(reply)
-		if !n.again(ctx, c, number, reply) {
-			return failed.Conclude(reply)
+		if suspected {
+			return reply
+		}
+		s.failed.Add(reply)
+		if !n.again(ctx, c, s.number-1, reply) {
+			return s.failed.Conclude(reply)
 		}
 	}
 }
@@ -64,25 +84,47 @@
 	return sleep(ctx, pause)
 }
 
-// attempt sends the call once. The VM is empty where none could be chosen.
-func (n *Node) attempt(ctx context.Context, c *call, number int, tried [maxExclude]string, role linkpb.OrderRole) (*linkpb.CallReply, string) {
-	began := time.Now()
-	n.demand.service(began, c.kind.Service)
+// attempt sends the call once. Where the link to the chosen VM is taken for
+// dead, a lookup goes on elsewhere beside it, and the reply is that of all; an
+// order waits.
+func (n *Node) attempt(ctx context.Context, c *call, s *sending, role linkpb.OrderRole) (reply *linkpb.CallReply, suspected bool) {
+	n.demand.service(time.Now(), c.kind.Service)
 	choice, reason := n.pick(ctx, routing.Query{
 		Service: c.kind.Service,
 		Order:   c.kind.IsOrder(),
-		Exclude: tried,
+		Exclude: s.tried,
 		Random:  rand.Uint64(),
 	})
 	if reason != contract.ReasonNone {
-		return ending.Refused(reason, "no upstream of "+c.kind.Service+" can be chosen"), ""
+		s.chosen("")
+		return ending.Refused(reason, "no upstream of "+c.kind.Service+" can be chosen"), false
+	}
+	number, vm := s.number, choice.Target.VM
+	s.chosen(vm)
+	n.awaitOpening(ctx, c.kind.Service, vm)
+	first := func(ctx context.Context, suspect func()) (*linkpb.CallReply, bool) {
+		return n.try(ctx, c, choice, number, role, suspect)
 	}
-	n.awaitOpening(ctx, c.kind.Service, choice.Target.VM)
-	reply := n.at(ctx, c, choice.Target.VM, choice.Target.Incarnation, number, role)
+	if vm == n.cfg.VM || c.kind.IsOrder() {
+		return first(ctx, nil)
+	}
+	return hedge.Run(ctx, first, func(ctx context.Context) *linkpb.CallReply {
+		doubtful := ending.Of(contract.MayHaveRun, contract.ReasonLinkLost, "link to "+vm+" taken for dead")
+		if !n.again(ctx, c, number, doubtful) {
+			return nil
+		}
+		return n.sendOn(ctx, c, s)
+	})
+}
+
+// try sends the call to the chosen upstream; suspect is as for link.Set.Call.
+func (n *Node) try(ctx context.Context, c *call, choice routing.Choice, number int, role linkpb.OrderRole, suspect func()) (*linkpb.CallReply, bool) {
+	began := time.Now()
+	reply, suspected := n.at(ctx, c, choice.Target.VM, choice.Target.Incarnation, number, role, suspect)
 	now := time.Now()
 	n.router.Done(now, choice, resultOf(reply, now.Sub(began)))
 	n.observe(now, c, reply)
-	return reply, choice.Target.VM
+	return reply, suspected
 }
 
 // pick chooses an upstream. Where the service was first used so lately that its
@@ -108,22 +150,21 @@
 }
 
 // at runs one attempt at a VM, which may be this one, and settles the grant it
-// carried.
-func (n *Node) at(ctx context.Context, c *call, vm string, incarnation uint64, number int, role linkpb.OrderRole) *linkpb.CallReply {
+// carried; suspect is as for link.Set.Call.
+func (n *Node) at(ctx context.Context, c *call, vm string, incarnation uint64, number int, role linkpb.OrderRole, suspect func()) (reply *linkpb.CallReply, suspected bool) {
 	grant := c.ledger.Draw()
 	req := n.request(c, incarnation, number, role)
 	req.Retries = uint32(grant)
-	var reply *linkpb.CallReply
 	if vm == n.cfg.VM {
 		if deadline, ok := ctx.Deadline(); ok {
 			req.TimeoutUs = time.Until(deadline).Microseconds()
 		}
 		reply = n.serveOwn(ctx, req)
 	} else {
-		reply, _ = n.links.Call(ctx, vm, req, nil)
+		reply, suspected = n.links.Call(ctx, vm, req, suspect)
 	}
 	c.ledger.Settle(grant, int(reply.RetriesSpent), answered(reply))
-	return reply
+	return reply, suspected
 }
 
 // serveOwn serves a call of this node at this node.
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -9,6 +9,7 @@
 	"heathershed/internal/contract"
 	"heathershed/internal/ending"
 	"heathershed/internal/fleet"
+	"heathershed/internal/hedge"
 )
 
 const (
@@ -22,42 +23,65 @@
 	awaitPart = 4
 )
 
+// sending is what the attempts of one call have come to.
+type sending struct {
+	tried  []string
+	failed ending.Attempts
+	last   *linkpb.CallReply
+}
+
 // send sees a call through: it offers it to doors until one takes it, and sends
 // it again where that is allowed.
 func (n *Node) send(ctx context.Context, c *call) *linkpb.CallReply {
 	n.budget.request(time.Now(), c.inner)
-	var tried []string
-	var last *linkpb.CallReply
-	var failed ending.Attempts
-	for len(tried) < maxDoors {
-		choice, ok := n.choose(ctx, c, tried)
+	return n.sendOn(ctx, c, &sending{})
+}
+
+// sendOn goes on with a call of which some attempts may have been made.
+func (n *Node) sendOn(ctx context.Context, c *call, s *sending) *linkpb.CallReply {
+	for len(s.tried) < maxDoors {
+		choice, ok := n.choose(ctx, c, s.tried)
 		if !ok {
 			break
 		}
-		tried = append(tried, choice.VM)
-		reply := n.offer(ctx, c, choice)
-		if ending.Ran(reply) {
+		s.tried = append(s.tried, choice.VM)
+		reply, suspected := n.attempt(ctx, c, choice, s)
+		if suspected || ending.Ran(reply) {
 			return reply
 		}
-		last = worse(last, reply)
-		failed.Add(reply)
-		if !n.again(ctx, c, failed) {
+		s.last = hedge.Better(s.last, reply)
+		s.failed.Add(reply)
+		if !n.again(ctx, c, s.failed) {
 			break
 		}
-		n.logAgain(c, choice.VM, reply, failed.Arrived)
+		n.logAgain(c, choice.VM, reply, s.failed.Arrived)
 	}
-	if last == nil {
+	if s.last == nil {
 		return ending.Refused(contract.ReasonNoUpstream, "no upstream of the service can be reached")
 	}
-	return failed.Conclude(last)
+	return s.failed.Conclude(s.last)
 }
 
-// worse keeps the reply that says more about what happened.
-func worse(a, b *linkpb.CallReply) *linkpb.CallReply {
-	if a != nil && ending.MayHaveRun(a) && !ending.MayHaveRun(b) {
-		return a
+// attempt offers the call to a door. Where the link to it is taken for dead, a
+// lookup goes on at other doors beside it, and the reply is that of all; an
+// order waits.
+func (n *Node) attempt(ctx context.Context, c *call, choice fleet.Choice, s *sending) (reply *linkpb.CallReply, suspected bool) {
+	if choice.VM == n.cfg.VM || !c.route.Idempotent {
+		return n.offer(ctx, c, choice, nil)
+	}
+	first := func(ctx context.Context, suspect func()) (*linkpb.CallReply, bool) {
+		return n.offer(ctx, c, choice, suspect)
+	}
+	second := func(ctx context.Context) *linkpb.CallReply {
+		doubtful := ending.Of(contract.MayHaveRun, contract.ReasonLinkLost, "link to "+choice.VM+" taken for dead")
+		s.failed.Arrived++ // it counts as one that reached an upstream
+		if !n.again(ctx, c, s.failed) {
+			return nil
+		}
+		n.logAgain(c, choice.VM, doubtful, s.failed.Arrived)
+		return n.sendOn(ctx, c, s)
 	}
-	return b
+	return hedge.Run(ctx, first, second)
 }
 
 // again decides on another attempt. What no upstream has seen costs nothing;
@@ -98,19 +122,18 @@
 	}
 }
 
-// offer offers the call to one door.
-func (n *Node) offer(ctx context.Context, c *call, choice fleet.Choice) *linkpb.CallReply {
+// offer offers the call to one door; suspect is as for link.Set.Call.
+func (n *Node) offer(ctx context.Context, c *call, choice fleet.Choice, suspect func()) (reply *linkpb.CallReply, suspected bool) {
 	req := n.request(c, choice)
-	var reply *linkpb.CallReply
 	if choice.VM == n.cfg.VM {
 		reply = n.serveOwn(ctx, req)
 	} else {
-		reply, _ = n.links.Call(ctx, choice.VM, req, nil)
+		reply, suspected = n.links.Call(ctx, choice.VM, req, suspect)
 	}
 	now := time.Now()
 	n.fleet.Done(now, choice, resultOf(c, reply))
 	n.observe(now, c, reply)
-	return reply
+	return reply, suspected
 }
 
 // observe notes the threshold that rides back on an answer.
