Link: a connection that never answers is given up after 3 s, not 20 s

openTimeout ran only once the control stream was open, and opening it waits for the transport, whose own bound is 20 s: a connection made while the other end was frozen or its packets were lost held the link for that long although new ones worked. Found by reading, while looking for other waits on a silent peer. TestConnectionThatNeverAnswersIsReplaced: 20.0 s before, 3.1 s after.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -65,6 +65,8 @@
 	to    string
 	mu    sync.Mutex
 	pipes [][2]*pipe // to the server, to the client
+	// deaf says that the next connection is accepted and never answered.
+	deaf bool
 }
 
 func newWire(t *testing.T, to string) *wire {
@@ -84,6 +86,10 @@
 		if err != nil {
 			return
 		}
+		if w.takeDeaf() {
+			w.t.Cleanup(func() { _ = a.Close() })
+			continue
+		}
 		b, err := net.Dial("tcp", w.to)
 		if err != nil {
 			_ = a.Close()
@@ -98,6 +104,21 @@
 	}
 }
 
+// ignoreNext has the next connection accepted and never answered.
+func (w *wire) ignoreNext() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.deaf = true
+}
+
+func (w *wire) takeDeaf() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	deaf := w.deaf
+	w.deaf = false
+	return deaf
+}
+
 // silence swallows bytes on the open connections from now on.
 func (w *wire) silence(toServer, toClient bool) {
 	w.mu.Lock()
@@ -312,6 +333,18 @@
 	}
 }
 
+func TestConnectionThatNeverAnswersIsReplaced(t *testing.T) {
+	t.Parallel()
+	p := newPair(t)
+	p.wire.ignoreNext()
+	began := time.Now()
+	p.want(7)
+	await(t, func() bool { return p.set.Up("b") })
+	if took, bound := time.Since(began), openTimeout+time.Second; took > bound {
+		t.Errorf("link up after %v, want at most %v", took, bound)
+	}
+}
+
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	p := newPair(t)
 	p.want(7)
--- a/internal/link/set.go
+++ b/internal/link/set.go
@@ -227,12 +227,13 @@
 	c := newConn(raw)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	timeout := time.AfterFunc(openTimeout, cancel)
 	control, err := c.client.Control(ctx, grpc.WaitForReady(false))
 	if err != nil {
+		timeout.Stop()
 		c.close()
 		return
 	}
-	timeout := time.AfterFunc(openTimeout, cancel)
 	c.session = newSession(s.handler, s.traffic, control, true)
 	leave := s.pulse.enter(c.session)
 	err = c.session.run(ctx, func(p Peer) bool {
