Link: the accepting end closes connections that nobody uses any more

A connection that has gone silent for good is closed by the end that dialled it, and the other end never hears of it: each left a connection with its buffers open until the process ended. The accepting end now closes one that has had neither a control stream nor a call for a minute; a link in use always has its control stream. TestSilentConnectionsDoNotPileUpAtTheServer does not end within 15 s without it; the tests' wire now swallows the close of a silent connection as well.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -99,8 +99,8 @@
 		w.mu.Lock()
 		w.pipes = append(w.pipes, [2]*pipe{toServer, toClient})
 		w.mu.Unlock()
-		go toServer.run()
-		go toClient.run()
+		go toServer.run(w.t)
+		go toClient.run(w.t)
 	}
 }
 
@@ -175,18 +175,56 @@
 	return p.dst.Write(b)
 }
 
-func (p *pipe) run() {
+// run passes bytes on until an end closes. A muted pipe swallows the close too,
+// and keeps it until the test ends.
+func (p *pipe) run(t *testing.T) {
 	_, _ = io.Copy(p, p.src)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.muted {
+		t.Cleanup(func() { _ = p.dst.Close() })
+		return
+	}
 	_ = p.dst.Close()
 	_ = p.src.Close()
 }
 
 // pair is a server, a wire to it and a set that wants a link to it.
 type pair struct {
-	served *node
-	server *Server
-	wire   *wire
-	set    *Set
+	served   *node
+	server   *Server
+	listener *countingListener
+	wire     *wire
+	set      *Set
+}
+
+// serverIdle is the idle time-out of the tests' servers.
+const serverIdle = 500 * time.Millisecond
+
+// countingListener counts its open connections.
+type countingListener struct {
+	net.Listener
+	open atomic.Int32
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.open.Add(1)
+	return &countedConn{Conn: c, open: &l.open}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	once sync.Once
+	open *atomic.Int32
+}
+
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
 }
 
 func dialPlain(_ context.Context, address string) (net.Conn, error) { return net.Dial("tcp", address) }
@@ -198,8 +236,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := NewServer(served, new(Traffic))
-	go func() { _ = server.Serve(ln) }()
+	server := newServer(served, new(Traffic), serverIdle)
+	counted := &countingListener{Listener: ln}
+	go func() { _ = server.Serve(counted) }()
 	w := newWire(t, ln.Addr().String())
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
@@ -211,7 +250,7 @@
 		stop()
 		server.Shutdown(ended)
 	})
-	return &pair{served: served, server: server, wire: w, set: set}
+	return &pair{served: served, server: server, wire: w, set: set, listener: counted}
 }
 
 func (p *pair) want(incarnation uint64) {
@@ -358,6 +397,20 @@
 	}
 }
 
+func TestSilentConnectionsDoNotPileUpAtTheServer(t *testing.T) {
+	t.Parallel()
+	p := newPair(t)
+	p.want(7)
+	await(t, func() bool { return p.set.Up("b") })
+	p.wire.silence(true, true)
+	await(t, func() bool { return !p.set.Up("b") })
+	await(t, func() bool { return p.set.Up("b") && p.listener.open.Load() == 1 })
+	time.Sleep(2 * serverIdle) // the link in use is not idle
+	if open := p.listener.open.Load(); open != 1 || !p.set.Up("b") {
+		t.Errorf("%d connections open, want the one of the link", open)
+	}
+}
+
 func TestNoLinkIsNotRun(t *testing.T) {
 	p := newPair(t)
 	if reply := <-p.call(t.Context(), "k"); contract.Verdict(reply.Verdict) != contract.NotRun {
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -15,9 +15,11 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 
@@ -33,6 +35,9 @@
 	// bufferSize is that of a connection's buffers, in bytes: a few messages of
 	// usual size; each node holds two connections to every other.
 	bufferSize = 8 << 10
+	// idleTimeout is how long a connection without a control stream and without
+	// calls stays open: one that has gone silent is never closed by the other end.
+	idleTimeout = time.Minute
 )
 
 // Handler is the node behind a link. Its methods are called concurrently and
@@ -69,7 +74,9 @@
 
 // NewServer returns a server that serves calls by h and counts control frames
 // in t.
-func NewServer(h Handler, t *Traffic) *Server {
+func NewServer(h Handler, t *Traffic) *Server { return newServer(h, t, idleTimeout) }
+
+func newServer(h Handler, t *Traffic, idle time.Duration) *Server {
 	s := &Server{
 		handler:  h,
 		traffic:  t,
@@ -84,6 +91,7 @@
 		grpc.InitialConnWindowSize(windowSize),
 		grpc.ReadBufferSize(bufferSize),
 		grpc.WriteBufferSize(bufferSize),
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: idle}),
 	)
 	linkpb.RegisterLinkServer(s.grpc, s)
 	return s
