Settings: a node may tell others another address than it listens on

Change: [addresses] announce of the sidecar's settings, an ip:port, by default the value of link; it goes into the own record and the own member. The listener stays on link.

--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -111,6 +111,16 @@
 	return checkAddress(text)
 }
 
+// optional is an address that may be left out.
+type optional struct{ address }
+
+func (v optional) set(text string) error {
+	if text == "" {
+		return nil
+	}
+	return v.address.set(text)
+}
+
 type path struct{ at *string }
 
 func (v path) String() string { return *v.at }
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -20,6 +20,9 @@
 	// question whether the node takes work, for the upstream's heartbeats and
 	// for scrapers.
 	Clients, Link, Ready, Heartbeats, Metrics string
+	// Announce is the ip:port at which other nodes reach Link; its default is
+	// Link itself.
+	Announce string
 	// Upstream is the ip:port of the upstream beside this node.
 	Upstream string
 	// Platform is the ip:port of the object API.
@@ -59,6 +62,9 @@
 	if err := parse(name, text, s.fields()); err != nil {
 		return nil, err
 	}
+	if s.Announce == "" {
+		s.Announce = s.Link
+	}
 	return s, nil
 }
 
@@ -73,6 +79,7 @@
 		{section: "vm", key: "service", value: label{&s.Service}, required: true},
 		{section: "addresses", key: "clients", value: address{&s.Clients}, required: true},
 		{section: "addresses", key: "link", value: address{&s.Link}, required: true},
+		{section: "addresses", key: "announce", value: optional{address{&s.Announce}}},
 		{section: "addresses", key: "ready", value: address{&s.Ready}, required: true},
 		{section: "addresses", key: "heartbeats", value: address{&s.Heartbeats}, required: true},
 		{section: "addresses", key: "metrics", value: address{&s.Metrics}, required: true},
--- a/internal/sidecar/parts_test.go
+++ b/internal/sidecar/parts_test.go
@@ -141,3 +141,14 @@
 		}
 	}
 }
+
+func TestOtherNodesAreToldTheAnnouncedAddress(t *testing.T) {
+	const announced = "127.0.0.1:2"
+	n := New(&settings.Sidecar{VM: "own", Link: "127.0.0.1:1", Announce: announced, Upstream: "127.0.0.1:1", Platform: "127.0.0.1:1"}, slog.New(slog.DiscardHandler))
+	if got := n.member().Address; got != announced {
+		t.Errorf("own member: %q", got)
+	}
+	if got := (&recordDuty{n: n}).own().Address; got != announced {
+		t.Errorf("own record: %q", got)
+	}
+}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -161,7 +161,7 @@
 		Service:     state.Service,
 		Region:      n.cfg.Region,
 		Datacentre:  n.cfg.Datacentre,
-		Address:     n.cfg.Link,
+		Address:     n.cfg.Announce,
 		Incarnation: n.incarnation,
 		Sequence:    sequence,
 		Slots:       uint32(state.Slots),
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -93,7 +93,7 @@
 	r := record{
 		VM:         d.n.cfg.VM,
 		Datacentre: d.n.cfg.Datacentre,
-		Address:    d.n.cfg.Link,
+		Address:    d.n.cfg.Announce,
 		Service:    state.Service,
 		Instance:   state.ID,
 		Slots:      state.Slots,
--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -151,7 +151,7 @@
 	w.t.Cleanup(func() { _ = server.Close() })
 	m := &vm{w: w, up: up, cfg: &settings.Sidecar{
 		VM: fmt.Sprint("vm-", number), Datacentre: datacentre, Region: "r", Service: service,
-		Clients: ip + ":7001", Link: ip + ":7002", Ready: ip + ":7003", Heartbeats: ip + ":7004", Metrics: ip + ":7005",
+		Clients: ip + ":7001", Link: ip + ":7002", Announce: ip + ":7002", Ready: ip + ":7003", Heartbeats: ip + ":7004", Metrics: ip + ":7005",
 		Upstream: up.address, Platform: w.address,
 		Grace: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Memory: 64 << 20,
 	}}
