Soak: a proxy on each machine's links

Cause: connections between nodes were broken by pauses and kills alone.

Change: each node announces the address of a proxy that passes on to its link address. A delay now holds pieces back side by side, so that it no longer narrows a connection to 16 KB each 50 ms. A check excuses a broken link until the nodes must have found it silent (4 s).

TestSilenceForGoodSparesOthers, TestDelayHoldsBackWithoutNarrowing.

--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -20,6 +20,7 @@
 	faultNode        = "node"
 	faultPause       = "pause"
 	faultUpstreamWay = "way to an upstream"
+	faultLinkWay     = "way between nodes"
 	faultStore       = "store"
 	faultStoreWay    = "way to the store"
 )
@@ -38,13 +39,15 @@
 )
 
 // machine is a VM: a node's process, the upstream beside it and the proxies on
-// the node's ways to its upstream and to the object API.
+// the node's ways to its upstream and to the object API, and on the way of other
+// nodes to it.
 type machine struct {
 	name, clients, ready string
 	process              *Process
 	upstream             *Upstream
 	upstreamWay          *Proxy
 	storeWay             *Proxy
+	linkWay              *Proxy
 	ledger               *Ledger
 
 	// changing is held while the process is killed, stopped or paused, and
@@ -65,8 +68,8 @@
 	at := func(port int) string { return fmt.Sprintf("%s:%d", p.ip, port) }
 	cfg := &settings.Sidecar{
 		VM: p.name, Datacentre: "west", Region: "r", Service: p.service,
-		Clients: at(7001), Link: at(7002), Ready: at(7003), Heartbeats: at(7004), Metrics: at(7005),
-		Upstream: at(8081), Platform: at(7401),
+		Clients: at(7001), Link: at(7002), Announce: at(7402), Ready: at(7003), Heartbeats: at(7004),
+		Metrics: at(7005), Upstream: at(8081), Platform: at(7401),
 		Grace: grace, RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow,
 		Memory: memory, LogLevel: "info",
 	}
@@ -83,6 +86,9 @@
 	if m.upstreamWay, err = NewProxy(cfg.Upstream, at(8080)); err != nil {
 		return nil, err
 	}
+	if m.linkWay, err = NewProxy(cfg.Announce, cfg.Link); err != nil {
+		return nil, err
+	}
 	m.storeWay, err = NewProxy(cfg.Platform, p.store)
 	return m, err
 }
@@ -96,10 +102,11 @@
 	return cfg.Print(f)
 }
 
-// downFault is the fault of a killed process, and ownFault any of the node's
-// process or of its way to the object API.
+// downFault is the fault of a killed process, ownFault any of the node's process
+// or of its way to the object API, and linkFault that of broken links to it.
 func (m *machine) downFault() string { return "down " + m.name }
 func (m *machine) ownFault() string  { return "at " + m.name }
+func (m *machine) linkFault() string { return "links to " + m.name }
 
 // start starts the node's process.
 func (m *machine) start() error {
@@ -157,4 +164,5 @@
 	m.upstream.Crash()
 	m.upstreamWay.Close()
 	m.storeWay.Close()
+	m.linkWay.Close()
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -19,6 +19,8 @@
 	spreadFor = 2 * time.Second
 	// leaveTime is how long an upstream goes on after it said that it leaves.
 	leaveTime = 4 * time.Second
+	// foundBound is how long nodes have to replace a link gone silent.
+	foundBound = 4 * time.Second
 )
 
 // Event is one fault of a plan.
@@ -28,6 +30,8 @@
 	Kind    string
 	// Machine is the index of the machine that it happens to.
 	Machine int
+	// Draw chooses one of several connections.
+	Draw uint64
 }
 
 func (e Event) String() string {
@@ -54,6 +58,12 @@
 	{"reset", upstreamWay(ModeReset)},
 	{"silent in", upstreamWay(ModeSilentIn)},
 	{"silent out", upstreamWay(ModeSilentOut)},
+	{"link delay", delayLinks},
+	{"link reset", cutLinks(ModeReset)},
+	{"link silent in", cutLinks(ModeSilentIn)},
+	{"link silent out", cutLinks(ModeSilentOut)},
+	{"links silent for good", silenceLinks},
+	{"one link silent for good", silenceLink},
 	{"store reset", storeWay(ModeReset)},
 	{"store silent", storeWay(ModeSilentOut)},
 	{"store down", storeFaults(fake.Faults{Down: true})},
@@ -76,6 +86,7 @@
 			For:     minFor + time.Duration(random.Int64N(int64(spreadFor))),
 			Kind:    faults[random.IntN(len(faults))].kind,
 			Machine: random.IntN(machines),
+			Draw:    random.Uint64(),
 		})
 	}
 }
@@ -176,6 +187,38 @@
 	}
 }
 
+// delayLinks ends nothing, so no check excuses anything by it.
+func delayLinks(r *run, m *machine, e Event) {
+	m.linkWay.Set(ModeDelay)
+	r.last(e.For)
+	m.linkWay.Set(ModePass)
+}
+
+func cutLinks(mode Mode) fault {
+	return func(r *run, m *machine, e Event) {
+		r.breakLinks(m, func() {
+			m.linkWay.Set(mode)
+			r.last(e.For)
+			m.linkWay.Set(ModePass)
+		})
+	}
+}
+
+func silenceLinks(r *run, m *machine, _ Event) { r.breakLinks(m, m.linkWay.SilenceAll) }
+
+func silenceLink(r *run, m *machine, e Event) {
+	r.breakLinks(m, func() { m.linkWay.SilenceOne(e.Draw) })
+}
+
+// breakLinks runs cut, and counts the links of other nodes to the machine as
+// broken until those that are silent must have been replaced.
+func (r *run) breakLinks(m *machine, cut func()) {
+	defer r.ledger.Begin(faultLinkWay)()
+	defer r.ledger.Begin(m.linkFault())()
+	cut()
+	r.last(foundBound)
+}
+
 func storeWay(mode Mode) fault {
 	return func(r *run, m *machine, e Event) {
 		defer r.ledger.Begin(faultStoreWay)()
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,8 +1,8 @@
 package soak
 
 import (
-	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -27,6 +27,8 @@
 	delayBy = 50 * time.Millisecond
 	// pieceBytes is what a proxy passes on at once.
 	pieceBytes = 16 << 10
+	// heldPieces bounds the pieces held back in one direction.
+	heldPieces = 256
 	// dialTimeout bounds the proxy's own connections.
 	dialTimeout = time.Second
 )
@@ -38,7 +40,20 @@
 
 	mu    sync.Mutex
 	mode  Mode
-	conns map[net.Conn]struct{}
+	conns []*passed // oldest first
+}
+
+// passed is one connection; the proxy's lock guards silent.
+type passed struct {
+	client, server net.Conn
+	// silent drops what comes both ways, for good.
+	silent bool
+}
+
+// piece is what was read at once, with the time at which it goes on.
+type piece struct {
+	due  time.Time
+	data []byte
 }
 
 // NewProxy listens on address and passes on to another one.
@@ -47,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, to: to, conns: make(map[net.Conn]struct{})}
+	p := &Proxy{listener: l, to: to}
 	go p.serve()
 	return p, nil
 }
@@ -62,6 +77,24 @@
 	}
 }
 
+// SilenceAll makes the present connections silent for good; new ones work.
+func (p *Proxy) SilenceAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		c.silent = true
+	}
+}
+
+// SilenceOne makes one of the present connections silent for good.
+func (p *Proxy) SilenceOne(draw uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := uint64(len(p.conns)); n > 0 {
+		p.conns[draw%n].silent = true
+	}
+}
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close() // nothing is left to lose
@@ -72,8 +105,9 @@
 
 // closeAll resets all connections; the caller holds the lock.
 func (p *Proxy) closeAll() {
-	for c := range p.conns {
-		reset(c)
+	for _, c := range p.conns {
+		reset(c.client)
+		reset(c.server)
 	}
 }
 
@@ -85,10 +119,11 @@
 	_ = c.Close()
 }
 
-func (p *Proxy) now() Mode {
+// state is the mode, and whether one connection is silent for good.
+func (p *Proxy) state(c *passed) (mode Mode, silent bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.mode
+	return p.mode, c.silent
 }
 
 func (p *Proxy) serve() {
@@ -103,62 +138,84 @@
 
 // pass carries one connection both ways until one end closes.
 func (p *Proxy) pass(client net.Conn) {
-	if p.now() == ModeReset {
+	server, err := net.DialTimeout("tcp", p.to, dialTimeout)
+	if err != nil {
 		reset(client)
 		return
 	}
-	server, err := net.DialTimeout("tcp", p.to, dialTimeout)
-	if err != nil {
+	c := &passed{client: client, server: server}
+	if !p.enter(c) {
 		reset(client)
+		reset(server)
 		return
 	}
-	p.enter(client, server)
-	defer p.leave(client, server)
+	defer p.leave(c)
 	var both sync.WaitGroup
-	both.Go(func() { p.carry(server, client, ModeSilentIn) })
-	both.Go(func() { p.carry(client, server, ModeSilentOut) })
+	both.Go(func() { p.carry(c, server, client, ModeSilentIn) })
+	both.Go(func() { p.carry(c, client, server, ModeSilentOut) })
 	both.Wait()
 }
 
-// carry passes on in one direction; what comes while the mode is silent is lost.
-func (p *Proxy) carry(to, from net.Conn, silent Mode) {
+// carry passes on in one direction.
+func (p *Proxy) carry(c *passed, to, from net.Conn, silent Mode) {
 	defer to.Close()
+	pieces := make(chan piece, heldPieces)
+	go p.read(c, from, silent, pieces)
+	failed := false
+	for one := range pieces {
+		if failed {
+			continue // until the reader has seen it
+		}
+		time.Sleep(time.Until(one.due))
+		if _, err := to.Write(one.data); err != nil {
+			failed = true
+			_ = from.Close() // ends the reader
+		}
+	}
+}
+
+// read hands on what comes until the connection ends. What comes while the way
+// is silent is lost, and so is all that follows it on this connection.
+func (p *Proxy) read(c *passed, from net.Conn, silent Mode, pieces chan<- piece) {
+	defer close(pieces)
 	defer from.Close()
-	piece := make([]byte, pieceBytes)
+	buffer := make([]byte, pieceBytes)
 	lost := false
 	for {
-		n, err := from.Read(piece)
-		if err != nil && err != io.EOF {
-			return
+		n, err := from.Read(buffer)
+		mode, gone := p.state(c)
+		lost = lost || gone || mode == silent
+		if n > 0 && !lost {
+			pieces <- held(buffer[:n], mode)
 		}
-		mode := p.now()
-		lost = lost || mode == silent
-		if mode == ModeDelay {
-			time.Sleep(delayBy)
-		}
-		if !lost && n > 0 {
-			if _, failed := to.Write(piece[:n]); failed != nil {
-				return
-			}
-		}
-		if err == io.EOF {
+		if err != nil {
 			return
 		}
 	}
 }
 
-func (p *Proxy) enter(conns ...net.Conn) {
+// held is a copy of data with the time at which it goes on.
+func held(data []byte, mode Mode) piece {
+	due := time.Now()
+	if mode == ModeDelay {
+		due = due.Add(delayBy)
+	}
+	return piece{due: due, data: slices.Clone(data)}
+}
+
+// enter reports false where the proxy resets each new connection.
+func (p *Proxy) enter(c *passed) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range conns {
-		p.conns[c] = struct{}{}
+	if p.mode == ModeReset {
+		return false
 	}
+	p.conns = append(p.conns, c)
+	return true
 }
 
-func (p *Proxy) leave(conns ...net.Conn) {
+func (p *Proxy) leave(c *passed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range conns {
-		delete(p.conns, c)
-	}
+	p.conns = slices.DeleteFunc(p.conns, func(other *passed) bool { return other == c })
 }
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -59,13 +59,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		conn, err := net.Dial("tcp", p.listener.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, err := say(conn); err != nil {
-			t.Fatalf("%s: before the fault: %v", c.name, err)
-		}
+		conn := dial(t, p)
 		p.Set(c.mode)
 		_, err = say(conn)
 		if heard := err == nil; heard != c.heard {
@@ -77,3 +71,69 @@
 		p.Close()
 	}
 }
+
+// TestSilenceForGoodSparesOthers silences all of two connections, or the drawn
+// one, and opens a third one.
+func TestSilenceForGoodSparesOthers(t *testing.T) {
+	cases := []struct {
+		name    string
+		silence func(p *Proxy)
+		heard   [3]bool
+	}{
+		{"all", (*Proxy).SilenceAll, [3]bool{false, false, true}},
+		{"the first", func(p *Proxy) { p.SilenceOne(4) }, [3]bool{false, true, true}},
+		{"the second", func(p *Proxy) { p.SilenceOne(5) }, [3]bool{true, false, true}},
+	}
+	for _, c := range cases {
+		p, err := NewProxy("127.0.0.1:0", echo(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns := []net.Conn{dial(t, p), dial(t, p)}
+		c.silence(p)
+		conns = append(conns, dial(t, p))
+		for i, conn := range conns {
+			if _, err := say(conn); (err == nil) != c.heard[i] {
+				t.Errorf("%s: connection %d: %v, want heard %v", c.name, i, err, c.heard[i])
+			}
+		}
+		p.Close()
+	}
+}
+
+// dial opens a connection by way of the proxy that has carried a word.
+func dial(t *testing.T, p *Proxy) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", p.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := say(conn); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+func TestDelayHoldsBackWithoutNarrowing(t *testing.T) {
+	const rounds = 20
+	p, err := NewProxy("127.0.0.1:0", echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	conn := dial(t, p)
+	p.Set(ModeDelay)
+	began := time.Now()
+	for range rounds {
+		if _, err := conn.Write(make([]byte, pieceBytes)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = conn.SetReadDeadline(began.Add(rounds * delayBy))
+	if _, err := io.ReadFull(conn, make([]byte, rounds*pieceBytes)); err != nil {
+		t.Errorf("a delay of %v each way took %v for %d pieces: %v", delayBy, time.Since(began), rounds, err)
+	}
+	if took := time.Since(began); took < 2*delayBy {
+		t.Errorf("took %v, less than the delay both ways", took)
+	}
+}
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -181,7 +181,7 @@
 // checkLeft looks whether the caller of work that has just ended had left.
 func (u *Upstream) checkLeft(attempt string, began time.Time) {
 	left := u.ledger.Left(attempt)
-	if left.IsZero() || u.ledger.IsOrder(attempt) || !u.ledger.Quiet(began, faultNode, faultPause, faultUpstreamWay) {
+	if left.IsZero() || u.ledger.IsOrder(attempt) || !u.ledger.Quiet(began, faultNode, faultPause, faultUpstreamWay, faultLinkWay) {
 		return
 	}
 	if late := time.Since(left); late > closeBound {
