Node: a planned stop ends within its grace and tells whom it ends

Seen: with a call in flight whose upstream does not answer, a node was still there at the end of its grace. TestPlannedStopEndsWithinGrace, grace 2 s, before: lookup and order at another node, order of another node, clients that go on asking, and a silent connection to the link's port each outlast the grace (that one by over 10 s); the ten other cases end in time. TestRequestCutByAStopIsAnswered before: 4 of 4 clients have no answer when the node has ended.

Causes, each traced: - Run waited for all duties without a bound. A link's duty waits up to 2 min for calls in flight, and nothing ended these: a request ended at its own deadline only. - The server of the links waits for its handlers. Orders run without their caller's cancellation, so one held it till its deadline. - That server waits 120 s for the handshake of a connection that says nothing, also when it is stopped at once. - Requests were let in till the close, whatever time they had left. - The clients' server was closed under a context that had ended: a request read in that moment, or still at work, lost its connection without an answer.

Now a stop has a plan: when clients have had notice, and the end, half a second before the grace. After the notice only a request whose deadline lies before the end is let in; others hear "not run" and when to come back. What is in flight has until the end, then it is ended and answered 504. The servers close while that runs, and duties that do not end hold the process for 100 ms.

After: all cases pass, 3 runs of the stop's tests under -race, load 20 on 8 cores.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -58,9 +58,7 @@
 	began := time.Now()
 	c, reply := n.accept(rc, began)
 	if reply == nil {
-		ctx, cancel := context.WithDeadline(ctx, c.deadline)
 		reply = n.seeThrough(ctx, c)
-		cancel()
 	}
 	n.answer(rc, c, reply)
 	took := time.Since(began)
@@ -70,6 +68,10 @@
 
 // seeThrough sends a call, unless what it will meet on its way sheds it.
 func (n *Node) seeThrough(ctx context.Context, c *call) *linkpb.CallReply {
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	stop := context.AfterFunc(n.working, cancel)
+	defer stop()
 	threshold := n.pressure.Threshold(time.Now(), c.service, c.route.Name)
 	if !c.inner && c.level < threshold {
 		n.logShed(c, threshold)
@@ -116,6 +118,9 @@
 		c.level = levelOf(route.Rank, c.attempt)
 	}
 	n.bound(c, now, origin.Elapsed)
+	if !n.admits(now, c.deadline) {
+		return c, ending.Refused(contract.ReasonLeaving, "the node stops")
+	}
 	c.method = string(rc.Method())
 	c.headers = front.CopyHeadersIf(&rc.Request.Header, platform.PassesRequest)
 	c.body = append([]byte(nil), rc.Request.Body()...)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -83,6 +83,11 @@
 	// listed is set once the other nodes' records were read.
 	listed   atomic.Bool
 	stopping atomic.Bool
+	// plan is that of a planned stop, once it has begun.
+	plan atomic.Pointer[stopPlan]
+	// working ends, by cut, when no request may go on.
+	working context.Context
+	cut     context.CancelFunc
 	// grace bounds a planned stop, in nanoseconds.
 	grace atomic.Int64
 	// inFlight counts the requests of clients and other nodes.
@@ -116,6 +121,7 @@
 		announce:    wait.NewSignal(),
 	}
 	n.grace.Store(int64(cfg.Grace))
+	n.working, n.cut = context.WithCancel(context.Background())
 	n.target = newTarget(n)
 	n.peers = newPeers(n)
 	n.front = front.NewWith(front.Options{HeaderBytes: headBytes, IdleTimeout: clientIdle, Log: connLog{log}}, n.serveClient)
@@ -148,16 +154,16 @@
 	group.Go(func() error { return n.peers.runLinks(running) })
 	group.Go(func() error { return n.runGauges(running) })
 	group.Go(func() error { return n.runRecord(running) })
-	group.Go(func() error {
-		defer cancel()
-		return n.awaitStop(ctx, running)
-	})
-	err = group.Wait()
-	n.log.Info("stopped", "err", err)
-	if errors.Is(err, context.Canceled) {
-		return nil
+	over := make(chan error, 1)
+	go func() { over <- group.Wait() }()
+	failed := n.awaitStop(ctx, running)
+	cancel()
+	left := n.awaitDuties(over)
+	if failed == nil && !errors.Is(left, context.Canceled) {
+		failed = left
 	}
-	return err
+	n.log.Info("stopped", "err", failed)
+	return failed
 }
 
 // Apply puts in force what can change while the process runs: the bounds of
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -12,57 +12,133 @@
 	notice = 2500 * time.Millisecond
 	// quiet is how long nothing may be in flight before the end.
 	quiet = 200 * time.Millisecond
-	// margin is left of the grace when the node ends.
+	// margin is left of the grace when what is still in flight is ended.
 	margin = 500 * time.Millisecond
+	// answerTime is how long the answers to what was ended take to be written,
+	// and dutyTime how long the duties take to end then. Both fit in the margin.
+	answerTime = 100 * time.Millisecond
+	dutyTime   = 100 * time.Millisecond
+	// linkTime is how long other nodes take to leave the links.
+	linkTime = 200 * time.Millisecond
 	// stopPoll is how often a stop looks whether it is over.
 	stopPoll = 50 * time.Millisecond
 )
 
+// stopPlan is the times of a planned stop.
+type stopPlan struct {
+	// noticed is when clients know that the node is not ready.
+	noticed time.Time
+	// end is when what is still in flight is ended.
+	end time.Time
+}
+
+// planStop returns the times of a stop that begins now.
+func planStop(now time.Time, grace time.Duration) stopPlan {
+	work := max(grace-margin, 0)
+	return stopPlan{noticed: now.Add(min(notice, work/2)), end: now.Add(work)}
+}
+
+// admits reports whether a request of a client may begin: once clients have had
+// notice only one that is over before the end.
+func (p stopPlan) admits(now, deadline time.Time) bool {
+	return now.Before(p.noticed) || !deadline.After(p.end)
+}
+
+// admits reports whether a request of a client may begin.
+func (n *Node) admits(now, deadline time.Time) bool {
+	p := n.plan.Load()
+	return p == nil || p.admits(now, deadline)
+}
+
 // awaitStop waits for the end and then stops in order: not ready, no new work
-// for the own upstream, requests in flight to their end, then the links.
+// for the own upstream, requests in flight to their end, then the links. It
+// returns the failure of a duty, if that is the end.
 func (n *Node) awaitStop(ctx, running context.Context) error {
 	select {
 	case <-ctx.Done():
 	case <-running.Done():
-		n.close()
-		return running.Err()
+		n.close(time.Now())
+		return context.Cause(running)
 	}
-	n.log.Info("stop", "grace_ms", time.Duration(n.grace.Load()).Milliseconds(), "in_flight", n.inFlight.Load())
+	grace := time.Duration(n.grace.Load())
+	plan := planStop(time.Now(), grace)
+	n.log.Info("stop", "grace_ms", grace.Milliseconds(), "in_flight", n.inFlight.Load())
+	n.plan.Store(&plan)
 	n.target.stop()
 	n.front.Leave()
-	n.awaitQuiet(running)
-	n.close()
+	n.awaitQuiet(running, plan)
+	n.close(plan.end)
 	return nil
 }
 
-// awaitQuiet waits until clients have had notice and nothing is in flight.
-func (n *Node) awaitQuiet(ctx context.Context) {
-	began := time.Now()
-	idleSince := began
-	for time.Since(began) < time.Duration(n.grace.Load())-margin && ctx.Err() == nil {
+// awaitQuiet waits until clients have had notice and nothing is in flight, or
+// until the end.
+func (n *Node) awaitQuiet(ctx context.Context, plan stopPlan) {
+	idleSince := time.Now()
+	for time.Now().Before(plan.end) && ctx.Err() == nil {
 		if n.inFlight.Load() > 0 {
 			idleSince = time.Now()
 		}
-		if time.Since(began) > notice && time.Since(idleSince) > quiet {
+		if time.Now().After(plan.noticed) && time.Since(idleSince) > quiet {
 			return
 		}
 		_ = wait.For(ctx, stopPoll)
 	}
 }
 
-// close ends the servers at once.
-func (n *Node) close() {
-	ended, cancel := context.WithCancel(context.Background())
+// close closes the servers. What is in flight has until the end; then it is
+// ended, and its clients are told.
+func (n *Node) close(end time.Time) {
+	timer := time.AfterFunc(time.Until(end), n.cut)
+	defer timer.Stop()
+	answered, cancel := context.WithDeadline(context.Background(), end.Add(answerTime))
+	defer cancel()
+	links := make(chan error, 1)
+	go func() { links <- n.closeLinks(answered) }()
+	n.closed("clients", n.front.Shutdown(answered))
+	n.closed("links", <-links)
+	n.cut()
 	cancel()
-	for name, err := range map[string]error{
-		"clients":    n.front.Shutdown(ended),
-		"ready":      n.ready.ShutdownWithContext(ended),
-		"heartbeats": n.heartbeats.ShutdownWithContext(ended),
-		"metrics":    n.scrapes.Close(),
-	} {
-		if err != nil {
-			n.log.Info("closed with connections open", "server", name, "err", err)
-		}
+	n.closed("ready", n.ready.ShutdownWithContext(answered))
+	n.closed("heartbeats", n.heartbeats.ShutdownWithContext(answered))
+	n.closed("metrics", n.scrapes.Close())
+}
+
+// closed tells of a server that was closed with connections open.
+func (n *Node) closed(server string, err error) {
+	if err != nil {
+		n.log.Info("closed with connections open", "server", server, "err", err)
+	}
+}
+
+// closeLinks closes the server of the links, which has had no new work since the
+// stop began. A connection whose other end is cut off could hold it.
+func (n *Node) closeLinks(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, linkTime)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		n.server.Shutdown(ctx)
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// awaitDuties waits a little for the end of all duties: none of them holds the
+// process beyond its grace.
+func (n *Node) awaitDuties(over <-chan error) error {
+	timer := time.NewTimer(dutyTime)
+	defer timer.Stop()
+	select {
+	case err := <-over:
+		return err
+	case <-timer.C:
+		n.log.Warn("duties left at work", "waited_ms", dutyTime.Milliseconds())
+		return nil
 	}
-	n.server.Shutdown(ended)
 }
--- /dev/null
+++ b/internal/sidecar/stop_test.go
@@ -0,0 +1,281 @@
+package sidecar
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	linkpb "heathershed/api/link"
+	"heathershed/internal/platform/fake"
+	"heathershed/platform/platformtest"
+)
+
+// answerIn has an upstream answer after a time, or when its caller has left.
+func answerIn(d time.Duration) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(d):
+			_, _ = io.WriteString(rw, "whole answer")
+		case <-r.Context().Done():
+		}
+	}
+}
+
+// inFlight sends a request by one node and waits until it runs at another one.
+func inFlight(from, at *vm, method, path string) <-chan answer {
+	before := at.up.ran.Load()
+	got := make(chan answer, 1)
+	go func() { got <- from.ask(method, path, nil) }()
+	at.w.until("the request runs", func() bool { return at.up.ran.Load() > before })
+	return got
+}
+
+// endsInTime stops a node and checks that it ends within its grace.
+func (m *vm) endsInTime() {
+	m.w.t.Helper()
+	began := time.Now()
+	m.stop()
+	select {
+	case err := <-m.done:
+		m.done <- err
+		if err != nil {
+			m.w.t.Errorf("planned stop: %v", err)
+		}
+	case <-time.After(m.cfg.Grace):
+		m.w.t.Errorf("%s is still there at the end of its grace", m.cfg.VM)
+		return
+	}
+	m.w.t.Logf("%s took %v", m.cfg.VM, time.Since(began).Round(time.Millisecond))
+}
+
+// TestPlannedStopEndsWithinGrace stops a node while something of each kind that
+// may hold it goes on.
+func TestPlannedStopEndsWithinGrace(t *testing.T) {
+	t.Parallel()
+	const never = time.Minute
+	request := func(method, path string, between func(near, far *vm) (from, at *vm)) func(*world, *vm, *vm) {
+		return func(_ *world, near, far *vm) {
+			from, at := between(near, far)
+			at.up.set(answerIn(never))
+			inFlight(from, at, method, path)
+		}
+	}
+	own := func(near, _ *vm) (from, at *vm) { return near, near }
+	out := func(near, far *vm) (from, at *vm) { return near, far }
+	in := func(near, far *vm) (from, at *vm) { return far, near }
+	cases := []struct {
+		name  string
+		begin func(w *world, near, far *vm)
+	}{
+		{"nothing", func(*world, *vm, *vm) {}},
+		{"lookup at the own upstream", request("GET", "/near/1", own)},
+		{"order at the own upstream", request("POST", "/near-order/1", own)},
+		{"lookup at another node", request("GET", "/far/1", out)},
+		{"order at another node", request("POST", "/far-order/1", out)},
+		{"lookup of another node", request("GET", "/near/1", in)},
+		{"order of another node", request("POST", "/near-order/1", in)},
+		{"store without an answer", func(w *world, _, _ *vm) { w.store.SetFaults(fake.Faults{Latency: never}) }},
+		{"write without an answer", func(w *world, near, _ *vm) {
+			w.store.SetFaults(fake.Faults{Latency: never})
+			near.up.id += "-new"
+			near.beat("near", "ready")
+			time.Sleep(2 * settle)
+		}},
+		{"store down", func(w *world, _, _ *vm) { w.store.SetFaults(fake.Faults{Down: true}) }},
+		{"silent connections", func(_ *world, near, _ *vm) {
+			for _, address := range near.addresses() {
+				dial(t, address)
+			}
+		}},
+		{"half requests", func(_ *world, near, _ *vm) {
+			for _, address := range near.addresses() {
+				_, _ = io.WriteString(dial(t, address), "POST /near-order/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhal")
+			}
+		}},
+		{"client that does not read", func(w *world, near, far *vm) {
+			far.up.set(func(rw http.ResponseWriter, _ *http.Request) { _, _ = rw.Write(make([]byte, 8<<20)) })
+			before := far.up.ran.Load()
+			_, _ = io.WriteString(dial(t, near.cfg.Clients), "GET /far/1 HTTP/1.1\r\nHost: h\r\n"+platformtest.HeaderAttempt+": unread\r\n\r\n")
+			w.until("it runs", func() bool { return far.up.ran.Load() > before })
+		}},
+		{"clients that go on", func(_ *world, near, far *vm) {
+			far.up.set(answerIn(never))
+			for i := range 8 {
+				keepAsking(t, near, "POST", "/far-order/1", time.Duration(i)*100*time.Millisecond)
+			}
+		}},
+		{"node that accepts and is silent", func(_ *world, near, _ *vm) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = l.Close() })
+			near.node.peers.learn(memberAt("silent", l.Addr().String()))
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w, near, far := pair(t)
+			c.begin(w, near, far)
+			near.endsInTime()
+			w.store.SetFaults(fake.Faults{})
+		})
+	}
+}
+
+// addresses are those at which a node listens.
+func (m *vm) addresses() []string {
+	return []string{m.cfg.Clients, m.cfg.Link, m.cfg.Ready, m.cfg.Heartbeats, m.cfg.Metrics}
+}
+
+// keepAsking sends one request after the other until the test ends.
+func keepAsking(t *testing.T, m *vm, method, path string, after time.Duration) {
+	done := make(chan struct{})
+	var all sync.WaitGroup
+	all.Go(func() {
+		time.Sleep(after)
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(20 * time.Millisecond):
+				m.ask(method, path, nil)
+			}
+		}
+	})
+	t.Cleanup(func() { close(done); all.Wait() })
+}
+
+// TestPlannedStopCutsNoAnswerThatComesInTime stops nodes while a request of each
+// kind is in flight whose upstream answers before the grace ends.
+func TestPlannedStopCutsNoAnswerThatComesInTime(t *testing.T) {
+	t.Parallel()
+	const answerAt = 1200 * time.Millisecond
+	for _, method := range []string{"GET", "POST"} {
+		for _, c := range []struct{ from, at, stops string }{
+			{"near", "near", "near"},
+			{"near", "far", "near"},
+			{"far", "near", "near"},
+			{"near", "far", "both"},
+		} {
+			t.Run(fmt.Sprint(method, " from ", c.from, " at ", c.at, ", stops ", c.stops), func(t *testing.T) {
+				t.Parallel()
+				_, near, far := pair(t)
+				vms := map[string]*vm{"near": near, "far": far}
+				vms[c.at].up.set(answerIn(answerAt))
+				path := "/" + c.at + "/1"
+				if method == "POST" {
+					path = "/" + c.at + "-order/1"
+				}
+				got := inFlight(vms[c.from], vms[c.at], method, path)
+				if c.stops == "both" {
+					far.stop()
+				}
+				near.endsInTime()
+				time.Sleep(answerTime)
+				if len(got) == 0 {
+					t.Fatal("no answer when the node has ended")
+				}
+				if a := <-got; a.status != http.StatusOK || a.body != "whole answer" {
+					t.Fatalf("status %d %q, %v", a.status, a.body, a.err)
+				}
+			})
+		}
+	}
+}
+
+// TestLateRequestDuringAStopIsNotCut sends requests till the very end of a stop:
+// each has a whole answer, or the promise that it has not run.
+func TestLateRequestDuringAStopIsNotCut(t *testing.T) {
+	t.Parallel()
+	_, near, far := pair(t)
+	far.up.set(answerIn(800 * time.Millisecond))
+	var all sync.WaitGroup
+	ended := make(chan struct{}, 1)
+	all.Go(func() {
+		near.endsInTime()
+		time.Sleep(answerTime)
+		ended <- struct{}{}
+	})
+	for i := range 5 {
+		all.Go(func() {
+			time.Sleep(time.Duration(i) * 400 * time.Millisecond)
+			sent := time.Now()
+			a := near.ask("POST", "/far-order/1", nil)
+			late := len(ended) > 0
+			switch {
+			case a.err != nil && time.Since(sent) < 50*time.Millisecond: // not read
+			case late:
+				t.Errorf("sent %d ms after the stop: no answer when the node had ended", 400*i)
+			case a.status == http.StatusOK && a.body == "whole answer":
+			case a.status == http.StatusServiceUnavailable && a.again != "":
+			default:
+				t.Errorf("sent %d ms after the stop: status %d, Retry-After %q, %v after %v", 400*i, a.status, a.again, a.err, time.Since(sent))
+			}
+		})
+	}
+	all.Wait()
+}
+
+// TestRequestCutByAStopIsAnswered lets a request outlast the grace: its client
+// is told, and not left with a closed connection.
+func TestRequestCutByAStopIsAnswered(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/near/1", "/near-order/1", "/far/1", "/far-order/1"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			_, near, far := pair(t)
+			near.up.set(answerIn(time.Minute))
+			far.up.set(answerIn(time.Minute))
+			at := near
+			if strings.HasPrefix(path, "/far") {
+				at = far
+			}
+			got := inFlight(near, at, "POST", path)
+			near.endsInTime()
+			time.Sleep(answerTime)
+			if len(got) == 0 {
+				t.Fatal("no answer when the node has ended")
+			}
+			if a := <-got; a.status != http.StatusGatewayTimeout || a.again != "" {
+				t.Fatalf("status %d, Retry-After %q, %v; want 504 without a promise", a.status, a.again, a.err)
+			}
+		})
+	}
+}
+
+// memberAt is another node as its record tells of it.
+func memberAt(vm, address string) *linkpb.Member {
+	return &linkpb.Member{Vm: vm, Address: address, Service: "far", Datacentre: "west"}
+}
+
+func TestStopPlan(t *testing.T) {
+	const ms = time.Millisecond
+	cases := []struct {
+		grace, noticed, end time.Duration
+		at, deadline        time.Duration
+		admits              bool
+	}{
+		{6000 * ms, 2500 * ms, 5500 * ms, 2499 * ms, 9000 * ms, true},
+		{6000 * ms, 2500 * ms, 5500 * ms, 2500 * ms, 5500 * ms, true},
+		{6000 * ms, 2500 * ms, 5500 * ms, 2500 * ms, 5501 * ms, false},
+		{2000 * ms, 750 * ms, 1500 * ms, 800 * ms, 1600 * ms, false},
+		{400 * ms, 0, 0, 0, 1 * ms, false},
+	}
+	now := time.Unix(1000, 0)
+	for _, c := range cases {
+		p := planStop(now, c.grace)
+		if p.noticed != now.Add(c.noticed) || p.end != now.Add(c.end) {
+			t.Errorf("grace %v: noticed after %v, end after %v", c.grace, p.noticed.Sub(now), p.end.Sub(now))
+		}
+		if got := p.admits(now.Add(c.at), now.Add(c.deadline)); got != c.admits {
+			t.Errorf("grace %v: request at %v with deadline %v: admitted %v", c.grace, c.at, c.deadline, got)
+		}
+	}
+}
