A front's threshold stands while its news are under way

Cause, by a trace of each door and front each 0.5 s: one dispute-desk (31 slots) is left, its threshold 2400. A front that sheds all lookups hears nothing, so its threshold falls by 128 levels each 100 ms (2400 to 90 within 1.5 s), while the first lookups let in need 1.5 s for their ten calls. All lookups return at once, the door's queue grows to 375 (550 ms of 700), they fail together, the fronts close, the door stands idle (23 of 31 slots), and so on with a period of 6 s. Ruled out: slots of other services (34.5 to 50 s: 52 of 183, 41 of 138, 23 of 92 in use, nobody waits; dispute-desk 26 of 31, 108 wait). Change: pressure knows how many requests of a kind are under way; while one is, the threshold stands, 2 s at most; one that ends without news costs one step. Why it works: a slice that returns is answered before the next one may.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -68,16 +68,20 @@
 
 // seeThrough sends a call, unless what it will meet on its way sheds it.
 func (n *Node) seeThrough(ctx context.Context, c *call) *linkpb.CallReply {
-	ctx, cancel := context.WithDeadline(ctx, c.deadline)
-	defer cancel()
-	stop := context.AfterFunc(n.working, cancel)
-	defer stop()
-	threshold := n.pressure.Threshold(time.Now(), c.service, c.route.Name)
+	now := time.Now()
+	threshold := n.pressure.Threshold(now, c.service, c.route.Name)
 	if !c.inner && c.level < threshold {
 		n.logShed(c, threshold)
 		return ending.Refused(contract.ReasonOverload, "shed at the front")
 	}
-	return n.send(ctx, c)
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	stop := context.AfterFunc(n.working, cancel)
+	defer stop()
+	n.pressure.Sent(now, c.service, c.route.Name)
+	reply := n.send(ctx, c)
+	n.pressure.Settled(time.Now(), c.service, c.route.Name)
+	return reply
 }
 
 // accept turns a request into a call, or into the reply that ends it.
--- a/internal/vm/pressure/pressure.go
+++ b/internal/vm/pressure/pressure.go
@@ -9,7 +9,9 @@
 // follows news within a few tenths of a second both ways.
 //
 // A front door that refuses hears less. So a threshold that nothing confirms
-// falls in steps, and only one slice of the ranks returns with each step.
+// falls in steps, and only one slice of the ranks returns with each step. The
+// first request that returns brings the news: while one is under way the
+// threshold stands, else all would return before the first is answered.
 package pressure
 
 import (
@@ -25,6 +27,8 @@
 	meanOver = 100 * time.Millisecond
 	// confirmFor is how long a threshold stands without news.
 	confirmFor = 300 * time.Millisecond
+	// confirmSent is the same while a request that brings news is under way.
+	confirmSent = 2 * time.Second
 	// stepEvery and levelsPerStep are the fall of a threshold without news.
 	stepEvery     = 100 * time.Millisecond
 	levelsPerStep = 128
@@ -43,6 +47,10 @@
 type entry struct {
 	level float64
 	at    time.Time
+	// heard: level is from news.
+	heard bool
+	// sent counts the requests that are under way.
+	sent int
 }
 
 // Table holds the thresholds of other services. It is safe for concurrent
@@ -61,6 +69,38 @@
 	}
 }
 
+// Sent notes that a request of the kind is on its way to the service. Settled
+// must follow.
+func (t *Table) Sent(now time.Time, service, kind string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entry(now, key{service, kind})
+	if e == nil {
+		return
+	}
+	if e.sent == 0 {
+		e.level, e.at = e.present(now), now
+	}
+	e.sent++
+}
+
+// Settled notes that a request that was sent has ended, with news or without.
+func (t *Table) Settled(now time.Time, service, kind string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[key{service, kind}]
+	if e == nil || e.sent == 0 {
+		return
+	}
+	if e.sent == 1 {
+		e.level = e.present(now)
+		if stands := now.Add(-confirmFor); e.at.Before(stands) {
+			e.at = stands // falls on from here
+		}
+	}
+	e.sent--
+}
+
 // Observe takes the threshold that an answer of the service reports for the
 // kind: the higher of its own and the one below it.
 func (t *Table) Observe(now time.Time, service, kind string, level contract.Level) {
@@ -121,24 +161,33 @@
 }
 
 func (t *Table) observe(now time.Time, k key, level contract.Level) *entry {
-	level = min(level, contract.MaxLevel)
-	e := t.entries[k]
+	e := t.entry(now, k)
 	if e == nil {
-		if len(t.entries) >= maxEntries && !t.forget(now) {
-			return nil
-		}
-		e = &entry{level: float64(level), at: now}
-		t.entries[k] = e
+		return nil
+	}
+	e.observe(now, min(level, contract.MaxLevel))
+	return e
+}
+
+// entry returns the entry of a key, a new one where there is none, or nil where
+// there is no room.
+func (t *Table) entry(now time.Time, k key) *entry {
+	e := t.entries[k]
+	if e != nil {
 		return e
 	}
-	e.observe(now, level)
+	if len(t.entries) >= maxEntries && !t.forget(now) {
+		return nil
+	}
+	e = &entry{at: now}
+	t.entries[k] = e
 	return e
 }
 
 // forget drops entries without recent news, and reports whether there is room.
 func (t *Table) forget(now time.Time) bool {
 	for k, e := range t.entries {
-		if now.Sub(e.at) > forgetAfter {
+		if e.sent == 0 && now.Sub(e.at) > forgetAfter {
 			delete(t.entries, k)
 		}
 	}
@@ -147,6 +196,10 @@
 
 // observe moves the mean towards the level, by the time since the last news.
 func (e *entry) observe(now time.Time, level contract.Level) {
+	if !e.heard {
+		e.heard, e.level, e.at = true, float64(level), now
+		return
+	}
 	present := e.present(now)
 	dt := max(now.Sub(e.at), 0)
 	weight := 1 - math.Exp(-float64(dt)/float64(meanOver))
@@ -158,7 +211,11 @@
 
 // present is the mean, less the steps it has fallen without news.
 func (e *entry) present(now time.Time) float64 {
-	silent := now.Sub(e.at) - confirmFor
+	confirm := confirmFor
+	if e.sent > 0 {
+		confirm = confirmSent
+	}
+	silent := now.Sub(e.at) - confirm
 	if silent < 0 {
 		return e.level
 	}
--- a/internal/vm/pressure/pressure_test.go
+++ b/internal/vm/pressure/pressure_test.go
@@ -1,6 +1,7 @@
 package pressure
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -107,3 +108,65 @@
 		table.Threshold(epoch, "spanbook", "span-history")
 	}
 }
+
+// TestDoorReopensNoFurtherThanItsNewsReach plays requests of ten times what an
+// upstream takes, whose answers come a second later with what it thinks then.
+func TestDoorReopensNoFurtherThanItsNewsReach(t *testing.T) {
+	const (
+		perSecond = 500
+		takes     = 50 // requests a second
+		delay     = 1000 * ms
+		seconds   = 30
+		seed      = 7
+	)
+	table, random := New(), rand.New(rand.NewPCG(seed, seed))
+	now := feed(table, epoch, time.Second, contract.RanksPerClass)
+	var pending []time.Time
+	sent, most := 0, 0
+	for range seconds * perSecond {
+		now = now.Add(time.Second / perSecond)
+		for len(pending) > 0 && !pending[0].Add(delay).After(now) {
+			pending = pending[1:]
+			level := contract.Level(0)
+			if len(pending) > takes {
+				level = contract.RanksPerClass
+			}
+			table.Observe(now, "spanbook", "span-history", level)
+			table.Settled(now, "spanbook", "span-history")
+		}
+		if contract.Level(random.IntN(contract.RanksPerClass)) < table.Threshold(now, "spanbook", "span-history") {
+			continue
+		}
+		table.Sent(now, "spanbook", "span-history")
+		pending = append(pending, now)
+		sent++
+		most = max(most, len(pending))
+	}
+	if most > 4*takes || sent < seconds*takes/4 {
+		t.Errorf("%d under way at most, %d sent in %d s; want at most %d, and %d or more", most, sent, seconds, 4*takes, seconds*takes/4)
+	}
+}
+
+func TestThresholdStandsWhileItsNewsAreUnderWay(t *testing.T) {
+	for _, row := range []struct {
+		name      string
+		wait      time.Duration // after a request was sent 350 ms after the news
+		settled   bool          // then it ended without news
+		low, high contract.Level
+	}{
+		{"under way", time.Second, false, 870, 880},
+		{"under way too long", 3 * time.Second, false, 0, 0},
+		{"ended without news: one step", time.Second, true, 740, 750},
+	} {
+		table := New()
+		now := feed(table, epoch, time.Second, 1000).Add(350 * ms)
+		table.Sent(now, "spanbook", "span-history")
+		now = now.Add(row.wait)
+		if row.settled {
+			table.Settled(now, "spanbook", "span-history")
+		}
+		if got := table.Threshold(now, "spanbook", "span-history"); got < row.low || got > row.high {
+			t.Errorf("%s: threshold %d, want %d to %d", row.name, got, row.low, row.high)
+		}
+	}
+}
