A request with a call's deadline by chance is not its parent

A daybook makes no calls. Cause: some calls to dispute-desk have the deadline of a running daybook by chance. Each was counted under it, so the daybook's answers carried the threshold of dispute-desk, and the fronts refused daybooks with room at their upstream. Change: a request is a parent only where its kind makes such calls, as it was already judged for calls whose deadline tells nothing. Test: a call with the deadline of a daybook beside twenty calls of a sync; failed before.

--- a/internal/vm/lineage/lineage.go
+++ b/internal/vm/lineage/lineage.go
@@ -152,9 +152,11 @@
 	}
 	if matched {
 		r.parents[p.Kind]++
+	}
+	if matched && r.makes(p.Kind) {
 		return p, true
 	}
-	if r.told || isWhole && r.shorter.most() {
+	if matched || r.told || isWhole && r.shorter.most() {
 		return b.lowest(r, name, now.Add(left))
 	}
 	return Parent{}, false
--- a/internal/vm/lineage/lineage_test.go
+++ b/internal/vm/lineage/lineage_test.go
@@ -93,3 +93,21 @@
 		t.Fatal("a call was tied to a request that has ended")
 	}
 }
+
+// TestRequestWithTheDeadlineOfACallByChanceIsNotItsParent plays calls of a sync
+// beside a client's daybook that ends when one of them does.
+func TestRequestWithTheDeadlineOfACallByChanceIsNotItsParent(t *testing.T) {
+	b := New()
+	begin(b, "sync", 1500, 5000*ms)
+	for i := range 20 {
+		left := time.Duration(600-i) * ms
+		b.Find(epoch.Add(5000*ms-left), "details", left)
+	}
+	now := epoch.Add(1000 * ms)
+	begin(b, "daybook", 3, 1700*ms)
+	for _, left := range []time.Duration{690 * ms, 700 * ms} {
+		if o := b.Find(now, "details", left); !o.Inner || o.Parent.Kind != "sync" {
+			t.Fatalf("%v left: %+v, want a call of sync", left, o)
+		}
+	}
+}
