Sidecar: benchmark of its processes

BenchmarkCall holds two nodes, the caller and the upstream in one process, so it shows neither what the collector and the runtime cost in a process of its own nor its memory. BenchmarkProcesses runs 16 of the programs on one core each (the test binary is the program where a variable says so), with upstreams and clients in the test's process, and reads their processor time at rest and in use and their peak memory from the kernel.

--- /dev/null
+++ b/cmd/heathershed-sidecar/cost_test.go
@@ -0,0 +1,272 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"heathershed/internal/platform/fake"
+	"heathershed/internal/platform/standin"
+	"heathershed/internal/settings"
+	"heathershed/platform"
+	"heathershed/platform/platformtest"
+)
+
+const (
+	// asProgram is the variable that makes the test binary the program itself.
+	asProgram = "HEATHERSHED_TEST_AS_PROGRAM"
+	// costNodes and costServices are the shape of the fleet, and costRate the
+	// requests of clients at each node, a second.
+	costNodes    = 16
+	costServices = 4
+	costRate     = 200
+	// costClients is how many clients each node has.
+	costClients = 8
+	// costRest and costTime are how long it is measured at rest and in use.
+	costRest = 5 * time.Second
+	costTime = 10 * time.Second
+	// costSettle is left to the processes before each.
+	costSettle = 3 * time.Second
+	// costPatience bounds the wait for all nodes to serve.
+	costPatience = 20 * time.Second
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// process is one program with the upstream beside it.
+type process struct {
+	cmd     *exec.Cmd
+	clients string
+	service string
+}
+
+// BenchmarkProcesses measures what the programs cost as processes of their own
+// on one core each: processor time at rest and for a request, and peak memory.
+// Run it with -benchtime 1x.
+func BenchmarkProcesses(b *testing.B) {
+	for b.Loop() {
+		measureProcesses(b)
+	}
+}
+
+func measureProcesses(b *testing.B) {
+	store := openStore(b)
+	processes := make([]*process, costNodes)
+	for i := range processes {
+		processes[i] = startProcess(b, store, i)
+	}
+	awaitServing(b, processes)
+	time.Sleep(costSettle)
+	atRest := spent(b, processes, costRest, func() {})
+	var asked, failed atomic.Int64
+	warm, cancel := context.WithTimeout(b.Context(), costSettle)
+	load(warm, processes, new(atomic.Int64), &failed)
+	cancel()
+	inUse := spent(b, processes, costTime, func() {
+		ctx, cancel := context.WithTimeout(b.Context(), costTime)
+		defer cancel()
+		load(ctx, processes, &asked, &failed)
+	})
+	b.ReportMetric(100*atRest/costNodes, "rest-core%/node")
+	b.ReportMetric(100*inUse/costNodes, "core%/node")
+	b.ReportMetric(inUse*costTime.Seconds()*1e6/float64(asked.Load()), "cpu-us/call")
+	b.ReportMetric(peakMemory(b, processes), "peak-MiB/node")
+	b.ReportMetric(float64(failed.Load()), "failed")
+	for _, p := range processes {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait() // killed just now
+	}
+}
+
+func openStore(b *testing.B) (address string) {
+	store := fake.New()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := standin.New(store)
+	go func() { _ = s.Serve(l) }()
+	b.Cleanup(func() { _ = s.Shutdown(context.Background()) })
+	var services []string
+	for i := range costServices {
+		services = append(services, service(i))
+	}
+	o := platform.Object{Name: platform.ConfigName, Spec: []byte(platformtest.Config(1, services...))}
+	if _, err := platform.NewObjects(l.Addr().String()).Put(b.Context(), platform.ConfigKind, o); err != nil {
+		b.Fatal(err)
+	}
+	return l.Addr().String()
+}
+
+func service(i int) string { return fmt.Sprint("s", i%costServices) }
+
+func startProcess(b *testing.B, store string, i int) *process {
+	ip := fmt.Sprintf("127.0.90.%d", 1+i)
+	cfg := &settings.Sidecar{
+		VM: fmt.Sprint("vm-", i), Datacentre: fmt.Sprint("dc", i/costServices), Region: "r", Service: service(i),
+		Clients: ip + ":7001", Link: ip + ":7002", Ready: ip + ":7003", Heartbeats: ip + ":7004", Metrics: ip + ":7005",
+		Upstream: ip + ":8080", Platform: store, LogLevel: "info",
+		Grace: time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Memory: 256 << 20,
+	}
+	var text bytes.Buffer
+	if err := cfg.Print(&text); err != nil {
+		b.Fatal(err)
+	}
+	ini := filepath.Join(b.TempDir(), "node.ini")
+	if err := os.WriteFile(ini, text.Bytes(), 0o600); err != nil {
+		b.Fatal(err)
+	}
+	serveUpstream(b, cfg.Upstream)
+	cmd := exec.Command(os.Args[0], "-config", ini)
+	cmd.Env = append(os.Environ(), asProgram+"=1", "GOMAXPROCS=1")
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		b.Fatal(err)
+	}
+	go beat(b.Context(), cfg)
+	return &process{cmd: cmd, clients: cfg.Clients, service: cfg.Service}
+}
+
+func serveUpstream(b *testing.B, address string) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := &fasthttp.Server{Handler: func(rc *fasthttp.RequestCtx) {
+		rc.Response.Header.SetBytesV(platformtest.HeaderAttempt, rc.Request.Header.Peek(platformtest.HeaderAttempt))
+		rc.SetBodyString("whole answer")
+	}}
+	go func() { _ = s.Serve(l) }()
+	b.Cleanup(func() { _ = s.Shutdown() })
+}
+
+// beat sends a heartbeat of the upstream each second.
+func beat(ctx context.Context, cfg *settings.Sidecar) {
+	for seq := 1; ctx.Err() == nil; seq++ {
+		body := platformtest.Heartbeat(cfg.Service, cfg.Upstream, "ready", seq)
+		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		req.SetRequestURI("http://" + cfg.Heartbeats + platformtest.HeartbeatPath("i-"+cfg.VM))
+		req.Header.SetMethod(fasthttp.MethodPost)
+		req.SetBodyString(body)
+		pause := time.Second
+		if err := fasthttp.Do(req, resp); err != nil {
+			pause /= 20 // it starts
+		}
+		fasthttp.ReleaseRequest(req)
+		fasthttp.ReleaseResponse(resp)
+		time.Sleep(pause)
+	}
+}
+
+func awaitServing(b *testing.B, processes []*process) {
+	for _, p := range processes {
+		client := &fasthttp.HostClient{Addr: p.clients}
+		for i := range costServices {
+			until := time.Now().Add(costPatience)
+			for !ask(client, service(i), 0) {
+				if time.Now().After(until) {
+					b.Fatal("a node does not serve")
+				}
+				time.Sleep(costPatience / 400)
+			}
+		}
+	}
+}
+
+// ask sends one request and reports whether it was answered.
+func ask(client *fasthttp.HostClient, service string, number int64) bool {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://h/" + service + "/1")
+	req.Header.Set(platformtest.HeaderAttempt, "a-"+client.Addr+"-"+strconv.FormatInt(number, 10))
+	req.Header.Set(platformtest.HeaderRemaining, "2500")
+	err := client.Do(req, resp)
+	return err == nil && resp.StatusCode() == fasthttp.StatusOK
+}
+
+// load sends requests at an even pace to each node until ctx ends.
+func load(ctx context.Context, processes []*process, asked, failed *atomic.Int64) {
+	var all sync.WaitGroup
+	for _, p := range processes {
+		client := &fasthttp.HostClient{Addr: p.clients, MaxConns: costClients}
+		for i := range costClients {
+			all.Go(func() {
+				ticker := time.NewTicker(costClients * time.Second / costRate)
+				defer ticker.Stop()
+				for n := int64(i); ctx.Err() == nil; n++ {
+					<-ticker.C
+					asked.Add(1)
+					if !ask(client, service(int(n)), n*costClients+int64(i)) {
+						failed.Add(1)
+					}
+				}
+			})
+		}
+	}
+	all.Wait()
+}
+
+// spent is the number of cores that the processes use during what is done.
+func spent(b *testing.B, processes []*process, during time.Duration, do func()) float64 {
+	began, from := time.Now(), processorTime(b, processes)
+	do()
+	time.Sleep(during - time.Since(began))
+	return (processorTime(b, processes) - from) / time.Since(began).Seconds()
+}
+
+// processorTime is the sum of the processes' time so far, in seconds.
+func processorTime(b *testing.B, processes []*process) (sum float64) {
+	const user, system, ticks = 13, 14, 100
+	for _, p := range processes {
+		fields := strings.Fields(procFile(b, p, "stat"))
+		for _, at := range []int{user, system} {
+			n, err := strconv.ParseFloat(fields[at], 64)
+			if err != nil {
+				b.Fatal(err)
+			}
+			sum += n / ticks
+		}
+	}
+	return sum
+}
+
+// peakMemory is the mean peak of the processes' resident memory, in MiB.
+func peakMemory(b *testing.B, processes []*process) (mean float64) {
+	for _, p := range processes {
+		_, rest, _ := strings.Cut(procFile(b, p, "status"), "VmHWM:")
+		kib, err := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+		if err != nil {
+			b.Fatal(err)
+		}
+		mean += kib / (1 << 10) / float64(len(processes))
+	}
+	return mean
+}
+
+func procFile(b *testing.B, p *process, name string) string {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", p.cmd.Process.Pid, name))
+	if err != nil {
+		b.Fatal(err)
+	}
+	return string(text)
+}
