Homes: one form of asking and answering, the one that looks at the clock

Guard.Answer and Intent.Ask without a time, Unresolved and the free Edit were called by no code outside of tests. They are gone, and Answer and Ask are now the names of what nodes run (AnswerAt, AskAt before). Their tests run through it: TestWitness with all its cases and TestStoreDown give the clock, so the hour without the store now also passes the check of clocks, which it skipped. Nothing used Unresolved, not even a test.

--- a/internal/node/editor.go
+++ b/internal/node/editor.go
@@ -125,11 +125,11 @@
 	e.intent = homes.NewIntent(document, changed)
 	e.began = now
 	f := c.frame()
-	f.Vouch = e.intent.AskAt(now)
+	f.Vouch = e.intent.Ask(now)
 	self := e.n.self()
 	for _, w := range e.intent.Witnesses() {
 		if w == self {
-			e.intent.Taken(self, e.n.homes.AnswerAt(now, f.Vouch))
+			e.intent.Taken(self, e.n.homes.Answer(now, f.Vouch))
 			continue
 		}
 		if s := c.sessionTo(w.VM); s != nil {
--- a/internal/node/ordercontrol.go
+++ b/internal/node/ordercontrol.go
@@ -63,7 +63,7 @@
 	if v.IntentTaken != 0 {
 		c.editor.taken(from, v)
 	}
-	if answer := o.n.homes.AnswerAt(time.Now(), v); answer != nil {
+	if answer := o.n.homes.Answer(time.Now(), v); answer != nil {
 		f := c.frame()
 		f.Vouch = answer
 		s.Send(f)
--- a/internal/order/homes/edit.go
+++ b/internal/order/homes/edit.go
@@ -15,12 +15,6 @@
 	Datacentre func(vm string) string
 }
 
-// Edit makes the next version of a document with the zero Editor, see
-// Editor.Edit.
-func Edit(now time.Time, d *Document, live map[string][]Home) (next *Document, changed []string) {
-	return Editor{}.Edit(now, d, live)
-}
-
 // Edit returns the version after d, in which the members in live are the homes
 // of their services, and the services whose list or witnesses change by it.
 // Only a version without changes, which just renews Confirmed, may be written
--- a/internal/order/homes/guard.go
+++ b/internal/order/homes/guard.go
@@ -56,22 +56,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	question = g.authority.Ask(now)
-	g.authority.Vouched(g.self, g.witness.AnswerAt(now, question))
+	g.authority.Vouched(g.self, g.witness.Answer(now, question))
 	return question, g.authority.Witnesses()
 }
 
 // Answer answers another node as a witness, see Witness.Answer.
-func (g *Guard) Answer(request *linkpb.Vouch) *linkpb.Vouch {
+func (g *Guard) Answer(now time.Time, request *linkpb.Vouch) *linkpb.Vouch {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.witness.Answer(request)
-}
-
-// AnswerAt answers another node as a witness, see Witness.AnswerAt.
-func (g *Guard) AnswerAt(now time.Time, request *linkpb.Vouch) *linkpb.Vouch {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.witness.AnswerAt(now, request)
+	return g.witness.Answer(now, request)
 }
 
 // Vouched takes the answer of a witness.
@@ -81,14 +74,6 @@
 	g.authority.Vouched(from, reply)
 }
 
-// Unresolved reports an intent that nothing came of yet, see
-// Witness.Unresolved.
-func (g *Guard) Unresolved() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.witness.Unresolved()
-}
-
 // Claim returns the home of an id of the node's service, whether that is this
 // very incarnation of this node, and the limit for order.Table.Begin.
 func (g *Guard) Claim(id contract.OrderID) (home Home, own bool, limit time.Time) {
--- a/internal/order/homes/homes_test.go
+++ b/internal/order/homes/homes_test.go
@@ -44,7 +44,7 @@
 func grow(views ...map[string][]Home) *Document {
 	var d *Document
 	for i, v := range views {
-		d, _ = Edit(epoch.Add(time.Duration(i)*time.Second), d, v)
+		d, _ = Editor{}.Edit(epoch.Add(time.Duration(i)*time.Second), d, v)
 	}
 	return d
 }
@@ -68,7 +68,7 @@
 				// Steps of the clock, back by less than the margin too.
 				now = now.Add(time.Duration(int(gaps[i%len(gaps)])%20_000) * time.Millisecond / 2)
 				now = now.Add(max(0, epoch.Sub(now)))
-				d, _ = Edit(now, d, live(names...))
+				d, _ = Editor{}.Edit(now, d, live(names...))
 				a := NewAuthority(service)
 				a.SetDocument(d)
 				for id, home := range allowed {
@@ -109,7 +109,7 @@
 		{"an older incarnation beside a newer", ab, time.Minute, live("a1", "a2", "b1"), 1, time.Minute + Delay + tick, 2, 2},
 		{"lists past the horizon go", grow(live("a1"), live("b1"), live("c1")), Horizon + time.Minute, live("d1"), 1, Horizon + time.Minute + Delay + tick, 2, 1},
 	} {
-		next, changed := Edit(epoch.Add(c.at), c.base, c.view)
+		next, changed := Editor{}.Edit(epoch.Add(c.at), c.base, c.view)
 		lists := next.Services[service]
 		newest := lists[len(lists)-1]
 		if len(changed) != c.changed || len(lists) != c.lists || len(newest.Members) != c.members || !newest.From.Equal(epoch.Add(c.from)) {
@@ -162,7 +162,7 @@
 		w.Know(c.known)
 		w.Intent(c.intended)
 		w.Intent(c.intended - min(1, c.intended)) // an older one late
-		if got := w.Answer(ask(c.asked)).GetVouchedUnixUs() == 9; got != c.vouches {
+		if got := w.Answer(epoch, ask(c.asked)).GetVouchedUnixUs() == 9; got != c.vouches {
 			t.Errorf("%s: vouches %t", c.name, got)
 		}
 	}
@@ -187,8 +187,8 @@
 		{"own clock steps back, home ahead", 5, 10.9, 0, true},
 	} {
 		w := Witness{}
-		w.AnswerAt(at(10), &linkpb.Vouch{AskedUnixUs: 1})
-		got := w.AnswerAt(at(c.now), &linkpb.Vouch{AskedHomesVersion: 5 - c.intent, AskedUnixUs: at(c.asked).UnixMicro(), IntentHomesVersion: c.intent})
+		w.Answer(at(10), &linkpb.Vouch{AskedUnixUs: 1})
+		got := w.Answer(at(c.now), &linkpb.Vouch{AskedHomesVersion: 5 - c.intent, AskedUnixUs: at(c.asked).UnixMicro(), IntentHomesVersion: c.intent})
 		if done := got.GetVouchedUnixUs() != 0 || got.GetIntentTaken() == 5; done != c.want {
 			t.Errorf("%s: %v", c.name, got)
 		}
@@ -275,7 +275,7 @@
 	}
 	d1 := grow(live("a1", "b1"))
 	d2 := Refresh(epoch.Add(time.Second), d1)
-	d3, _ := Edit(epoch.Add(2*time.Second), d2, live("a1"))
+	d3, _ := Editor{}.Edit(epoch.Add(2*time.Second), d2, live("a1"))
 	// A node that has version 1 makes version 2 from its confirmation alone.
 	remade := Refresh(d2.Confirmed, d1)
 	h := NewHolder()
--- a/internal/order/homes/intent.go
+++ b/internal/order/homes/intent.go
@@ -49,20 +49,15 @@
 	return all
 }
 
-// AskAt is the message to the witnesses; now is the editor's wall clock, which
+// Ask is the message to the witnesses; now is the editor's wall clock, which
 // they check. Edit never counts from an earlier time.
-func (i *Intent) AskAt(now time.Time) *linkpb.Vouch {
+func (i *Intent) Ask(now time.Time) *linkpb.Vouch {
 	if now.After(i.asked) {
 		i.asked = now
 	}
 	return &linkpb.Vouch{IntentHomesVersion: i.base.Version, AskedUnixUs: now.UnixMicro()}
 }
 
-// Ask is AskAt without a time to check.
-func (i *Intent) Ask() *linkpb.Vouch {
-	return &linkpb.Vouch{IntentHomesVersion: i.base.Version}
-}
-
 // Taken counts the answer of a node. A later incarnation of a witness counts
 // for it: the one that could vouch is gone, and its memory with it.
 func (i *Intent) Taken(from Home, reply *linkpb.Vouch) {
--- a/internal/order/homes/size_test.go
+++ b/internal/order/homes/size_test.go
@@ -18,12 +18,12 @@
 		name := fmt.Sprintf("service-%02d", vm%89)
 		view[name] = append(view[name], Home{fmt.Sprintf("vm-%03d", vm), uint64(epoch.UnixMilli())})
 	}
-	d, _ := Edit(epoch, nil, view)
+	d, _ := Editor{}.Edit(epoch, nil, view)
 	for i := range restarts {
 		at := epoch.Add(time.Duration(i) * time.Second)
 		members := view[fmt.Sprintf("service-%02d", i%89)]
 		members[i%len(members)].Incarnation = uint64(at.UnixMilli()) + 1
-		d, _ = Edit(at, d, view)
+		d, _ = Editor{}.Edit(at, d, view)
 	}
 	return d
 }
@@ -40,7 +40,7 @@
 	}
 	d := grow(live("a1"))
 	for i := range 5 * MaxLists {
-		d, _ = Edit(epoch.Add(time.Duration(i)*time.Second), d, live(fmt.Sprintf("a%d", 1+i%2)))
+		d, _ = Editor{}.Edit(epoch.Add(time.Duration(i)*time.Second), d, live(fmt.Sprintf("a%d", 1+i%2)))
 	}
 	if n := len(d.Services[service]); n > MaxLists {
 		t.Errorf("%d lists", n)
@@ -66,7 +66,7 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		_, _ = Edit(epoch, d, view)
+		_, _ = Editor{}.Edit(epoch, d, view)
 	}
 }
 
@@ -92,8 +92,8 @@
 	w.Know(100_000)
 	size := func(v *linkpb.Vouch) float64 { return float64(proto.Size(&linkpb.ControlFrame{Vouch: v})) }
 	for b.Loop() {
-		w.Answer(w.Ask(epoch))
+		w.Answer(epoch, w.Ask(epoch))
 	}
 	b.ReportMetric(size(w.Ask(epoch)), "B/question")
-	b.ReportMetric(size(w.Answer(w.Ask(epoch))), "B/answer")
+	b.ReportMetric(size(w.Answer(epoch, w.Ask(epoch))), "B/answer")
 }
--- a/internal/order/homes/witness.go
+++ b/internal/order/homes/witness.go
@@ -32,13 +32,6 @@
 	return w.intended
 }
 
-// Unresolved reports whether the newest version known is one that an editor
-// meant to replace. If that lasts, any successful write resolves it, a refresh
-// included.
-func (w *Witness) Unresolved() bool {
-	return w.intended > 0 && w.intended >= w.known
-}
-
 // vouches reports whether the witness vouches that no newer document than the
 // given version changed anything.
 func (w *Witness) vouches(version uint64) bool {
@@ -51,13 +44,7 @@
 	return &linkpb.Vouch{AskedHomesVersion: w.known, AskedUnixUs: now.UnixMicro()}
 }
 
-// Answer is AnswerAt without a look at the clock: then it is for others to keep
-// the clocks of VMs within ClockMargin.
-func (w *Witness) Answer(request *linkpb.Vouch) *linkpb.Vouch {
-	return w.AnswerAt(time.Time{}, request)
-}
-
-// AnswerAt answers a question, an intent, or both in one message. It returns
+// Answer answers a question, an intent, or both in one message. It returns
 // nil for a message that holds neither.
 //
 // It does not vouch for a home whose clock is ahead of now by more than
@@ -65,7 +52,7 @@
 // Since a majority that vouched and a majority that took note share a witness,
 // its clock bounds how far the two others are apart, and no error of a clock
 // lets two homes run one id.
-func (w *Witness) AnswerAt(now time.Time, request *linkpb.Vouch) *linkpb.Vouch {
+func (w *Witness) Answer(now time.Time, request *linkpb.Vouch) *linkpb.Vouch {
 	if request.GetAskedUnixUs() == 0 && request.GetIntentHomesVersion() == 0 {
 		return nil
 	}
--- a/internal/order/model_homes_test.go
+++ b/internal/order/model_homes_test.go
@@ -46,24 +46,24 @@
 		}
 	case step == 1: // plan a change and tell the witnesses
 		e.live = w.view(mask >> 3)
-		_, changed := homes.Edit(w.now(n), e.base, e.live)
+		_, changed := homes.Editor{}.Edit(w.now(n), e.base, e.live)
 		intent := homes.NewIntent(e.base, changed)
 		e.intent = intent
-		ask := intent.AskAt(w.now(n))
+		ask := intent.Ask(w.now(n))
 		for _, h := range intent.Witnesses() {
 			if w.fault == noIntent {
 				break
 			}
 			w.later(func() {
 				witness := w.nodeOf(h.VM)
-				reply := witness.guard.AnswerAt(w.witnessClock(witness), ask)
+				reply := witness.guard.Answer(w.witnessClock(witness), ask)
 				w.later(func() { intent.Taken(witness.self, reply) })
 			})
 		}
 	case step == 2 && e.intent != nil && (e.intent.Ready() || w.fault == noIntent):
 		next, _ := e.intent.Edit(homes.Editor{}, w.now(n), e.live)
 		if w.fault == noIntent {
-			next, _ = homes.Edit(w.now(n), e.base, e.live)
+			next, _ = homes.Editor{}.Edit(w.now(n), e.base, e.live)
 		}
 		version := e.version
 		w.later(func() { w.put(version, next) })
@@ -87,7 +87,7 @@
 	for _, h := range witnesses {
 		w.later(func() {
 			witness := w.nodeOf(h.VM)
-			from, reply := witness.self, witness.guard.AnswerAt(w.witnessClock(witness), question)
+			from, reply := witness.self, witness.guard.Answer(w.witnessClock(witness), question)
 			if w.fault == anyWitness {
 				from = h
 			}
--- a/internal/order/model_test.go
+++ b/internal/order/model_test.go
@@ -116,7 +116,7 @@
 	for i := range w.nodes {
 		w.restart(i, 1)
 	}
-	first, _ := homes.Edit(epoch, nil, w.view(7))
+	first, _ := homes.Editor{}.Edit(epoch, nil, w.view(7))
 	w.put(0, first)
 	for _, n := range w.nodes {
 		w.offer(n, 1, w.stored[0])
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -193,7 +193,7 @@
 		members[i] = homes.Home{VM: vm, Incarnation: 1}
 		guards[i] = homes.NewGuard(members[i], "cutdesk")
 	}
-	d, _ := homes.Edit(epoch, nil, map[string][]homes.Home{"cutdesk": members})
+	d, _ := homes.Editor{}.Edit(epoch, nil, map[string][]homes.Home{"cutdesk": members})
 	value, _ := d.Encode()
 	for _, g := range guards {
 		if _, err := g.Offer(1, value); err != nil {
@@ -206,7 +206,7 @@
 			question, _ := g.Ask(now)
 			for j, w := range guards {
 				if j != i && (i < 3) == (j < 3) {
-					g.Vouched(members[j], w.Answer(question))
+					g.Vouched(members[j], w.Answer(now, question))
 				}
 			}
 		}
