Order: one form of each decision, the one that nodes run

Begin without an attempt, Accept without the time of the copy, FreshID without incarnations, and the keeper's Abandon, Close and Usage were called by no code outside of tests, Executor.Len by nothing. They are gone, and the forms that run have the short names (BeginAttempt, AcceptCopy, FreshIDWhere before). The tests make the same checks with the same orders through them: an unknown attempt is given as Attempt{}, as Begin did. Table.Abandon stays: the tables of the state machine check it, and no form that runs makes the same promise.

--- a/internal/node/order.go
+++ b/internal/node/order.go
@@ -108,7 +108,7 @@
 	now := time.Now()
 	var d order.Decision
 	if _, own, limit := n.homes.Claim(id); own {
-		d = n.orders.BeginAttempt(now, id, kind.Owner, kind.Name, fingerprint(req), limit, attempt)
+		d = n.orders.Begin(now, id, kind.Owner, kind.Name, fingerprint(req), limit, attempt)
 	} else if n.isSuccessor(kind.Service, id) {
 		d = n.orders.Lookup(now, id, kind.Owner, kind.Name, fingerprint(req), attempt)
 	} else {
@@ -230,7 +230,7 @@
 	}
 	id := contract.OrderID(req.OrderId)
 	received := time.UnixMicro(req.ReceivedUnixUs)
-	d := n.executor.AcceptCopy(time.Now(), id, kind.Owner, kind.Name, req.Attempt, received, notAfter)
+	d := n.executor.Accept(time.Now(), id, kind.Owner, kind.Name, req.Attempt, received, notAfter)
 	if d.Kind == order.DecisionRun {
 		return nil
 	}
@@ -275,7 +275,7 @@
 // serveOrderID hands out an order id whose home answers.
 func (n *Node) serveOrderID(rc *fasthttp.RequestCtx) {
 	service := string(rc.QueryArgs().Peek("service"))
-	id, ok := order.FreshIDWhere(time.Now(), n.homes.Current(), service, n.reachable, rand.Reader)
+	id, ok := order.FreshID(time.Now(), n.homes.Current(), service, n.reachable, rand.Reader)
 	if !ok {
 		rc.Error("no home of service "+service+" can be reached; ask again in a second\n", fasthttp.StatusServiceUnavailable)
 		return
--- a/internal/order/executor.go
+++ b/internal/order/executor.go
@@ -40,13 +40,7 @@
 	}
 }
 
-// Accept is AcceptCopy for a home that tells the copies of an order apart by
-// their deadline alone.
-func (e *Executor) Accept(now time.Time, id contract.OrderID, owner, kind string, number uint32, notAfter time.Time) Decision {
-	return e.AcceptCopy(now, id, owner, kind, number, notAfter, notAfter)
-}
-
-// AcceptCopy decides whether to run a try now. number counts the tries of the
+// Accept decides whether to run a try now. number counts the tries of the
 // home for one copy of the order, and received is that copy's Attempt.Received:
 // both are the same wherever the same try arrives. notAfter is the wall-clock
 // time after which the home wants it started no more; the upstream gets it too.
@@ -54,7 +48,7 @@
 // DecisionRun: run it. DecisionRefused with NotRun: it is not run here, nor is
 // a copy of it. DecisionMayHaveRun: the same try came twice, or the id is older
 // than tries are remembered.
-func (e *Executor) AcceptCopy(now time.Time, id contract.OrderID, owner, kind string, number uint32, received, notAfter time.Time) Decision {
+func (e *Executor) Accept(now time.Time, id contract.OrderID, owner, kind string, number uint32, received, notAfter time.Time) Decision {
 	if now.After(e.now) {
 		e.now = now
 	}
@@ -77,9 +71,6 @@
 	return Decision{Kind: DecisionRun}
 }
 
-// Len is the number of tries remembered.
-func (e *Executor) Len() int { return len(e.tries) }
-
 func (e *Executor) forget() {
 	e.expiry.due(e.now, func(t try) bool {
 		delete(e.tries, t)
--- a/internal/order/homes/witness.go
+++ b/internal/order/homes/witness.go
@@ -45,7 +45,7 @@
 }
 
 // Answer answers a question, an intent, or both in one message. It returns
-// nil for a message that holds neither.
+// nil for a message that holds neither. A zero now checks no clock.
 //
 // It does not vouch for a home whose clock is ahead of now by more than
 // ClockMargin, and takes no note for an editor whose clock is behind by more.
--- a/internal/order/keeper.go
+++ b/internal/order/keeper.go
@@ -19,15 +19,10 @@
 func NewKeeper(config Config) *Keeper { return &Keeper{table: NewTable(config)} }
 
 // Begin is Table.Begin.
-func (k *Keeper) Begin(now time.Time, id contract.OrderID, owner, kind string, fingerprint uint64, limit time.Time) Decision {
-	return k.BeginAttempt(now, id, owner, kind, fingerprint, limit, Attempt{})
-}
-
-// BeginAttempt is Table.BeginAttempt.
-func (k *Keeper) BeginAttempt(now time.Time, id contract.OrderID, owner, kind string, fingerprint uint64, limit time.Time, a Attempt) Decision {
+func (k *Keeper) Begin(now time.Time, id contract.OrderID, owner, kind string, fingerprint uint64, limit time.Time, a Attempt) Decision {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.table.BeginAttempt(now, id, owner, kind, fingerprint, limit, a)
+	return k.table.Begin(now, id, owner, kind, fingerprint, limit, a)
 }
 
 // Sent is Table.Sent.
@@ -44,13 +39,6 @@
 	return k.table.End(now, id, owner, kind, answer)
 }
 
-// Abandon is Table.Abandon.
-func (k *Keeper) Abandon(now time.Time, id contract.OrderID, owner, kind string, reason contract.Reason) Answer {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.table.Abandon(now, id, owner, kind, reason)
-}
-
 // Expire is Table.Expire; call it about once a second.
 func (k *Keeper) Expire(now time.Time) {
 	k.mu.Lock()
@@ -58,13 +46,6 @@
 	k.table.Expire(now)
 }
 
-// Close is Table.Close.
-func (k *Keeper) Close() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.table.Close()
-}
-
 // Export is Table.Export.
 func (k *Keeper) Export() []*linkpb.OrderRecord {
 	k.mu.Lock()
@@ -86,21 +67,6 @@
 	return k.table.Lookup(now, id, owner, kind, fingerprint, a)
 }
 
-// Usage is what a keeper holds.
-type Usage struct {
-	// Records and Running are counts of orders.
-	Records, Running int
-	// Bytes is the size of the recorded headers and bodies.
-	Bytes int
-}
-
-// Usage returns what the keeper holds now.
-func (k *Keeper) Usage() Usage {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return Usage{Records: k.table.Len(), Running: k.table.Running(), Bytes: k.table.Bytes()}
-}
-
 // ExecutorKeeper is an Executor that is safe for concurrent use.
 type ExecutorKeeper struct {
 	mu       sync.Mutex
@@ -113,15 +79,8 @@
 }
 
 // Accept is Executor.Accept.
-func (k *ExecutorKeeper) Accept(now time.Time, id contract.OrderID, owner, kind string, number uint32, notAfter time.Time) Decision {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.executor.Accept(now, id, owner, kind, number, notAfter)
-}
-
-// AcceptCopy is Executor.AcceptCopy.
-func (k *ExecutorKeeper) AcceptCopy(now time.Time, id contract.OrderID, owner, kind string, number uint32, received, notAfter time.Time) Decision {
+func (k *ExecutorKeeper) Accept(now time.Time, id contract.OrderID, owner, kind string, number uint32, received, notAfter time.Time) Decision {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.executor.AcceptCopy(now, id, owner, kind, number, received, notAfter)
+	return k.executor.Accept(now, id, owner, kind, number, received, notAfter)
 }
--- a/internal/order/model_homes_test.go
+++ b/internal/order/model_homes_test.go
@@ -111,7 +111,7 @@
 	w.passed++
 	for i := range 6 {
 		at := w.real.Add(homes.ClockMargin - time.Duration(i)*step/6)
-		id, _ := order.FreshID(at, w.nodes[i%numVMs].guard.Current(), service, func(string) bool { return true }, w.random)
+		id, _ := order.FreshID(at, w.nodes[i%numVMs].guard.Current(), service, func(homes.Home) bool { return true }, w.random)
 		w.probes = append(w.probes, probe{id: id})
 	}
 	w.probes = w.probes[max(0, len(w.probes)-24):]
--- a/internal/order/model_orders_test.go
+++ b/internal/order/model_orders_test.go
@@ -5,12 +5,13 @@
 
 	"heathershed/internal/contract"
 	"heathershed/internal/order"
+	"heathershed/internal/order/homes"
 )
 
 // call has a caller send an order, new or repeated, by way of a node.
 func (w *world) call(n *node, which, age int) {
 	if len(w.orders) == 0 || which%4 == 0 {
-		id, _ := order.FreshID(w.now(n).Add(-time.Duration(max(0, age-8))*time.Second), n.guard.Current(), service, func(string) bool { return true }, w.random)
+		id, _ := order.FreshID(w.now(n).Add(-time.Duration(max(0, age-8))*time.Second), n.guard.Current(), service, func(homes.Home) bool { return true }, w.random)
 		w.orders = append(w.orders, &orderLog{id: id, numbered: len(w.orders)%2 == 1})
 		which = 0
 	}
@@ -47,7 +48,7 @@
 		c.Known, c.Received = false, w.real.Add(time.Hour)
 	}
 	w.at(h, func() {
-		d := h.table.BeginAttempt(w.now(h), c.id, owner, kind, 1, limit, c.Attempt)
+		d := h.table.Begin(w.now(h), c.id, owner, kind, 1, limit, c.Attempt)
 		if d.Kind == order.DecisionRun {
 			w.at(h, func() { w.execute(h, c, 0, w.now(h).Add(3*time.Second)) })
 			return
@@ -90,7 +91,7 @@
 		if !w.alive(target) {
 			return
 		}
-		d := target.exec.AcceptCopy(w.now(target), c.id, owner, kind, number, c.Received, notAfter)
+		d := target.exec.Accept(w.now(target), c.id, owner, kind, number, c.Received, notAfter)
 		verdict := d.Verdict
 		if d.Kind == order.DecisionRun {
 			if verdict = contract.NotRun; c.id[14]%2 != 0 || number > 0 {
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -108,7 +108,7 @@
 	}
 	switch e.op {
 	case "begin":
-		return show(t.BeginAttempt(now, order, owner, "cut", e.content, limit, e.attempt))
+		return show(t.Begin(now, order, owner, "cut", e.content, limit, e.attempt))
 	case "lookup":
 		return show(t.Lookup(now, order, owner, "cut", e.content, e.attempt))
 	case "sent":
@@ -160,7 +160,7 @@
 		{601, 0, 0, 1, 3, "mayhaverun may-have-run order-expired"},
 		{601, 500, 0, 601, 602, "run"},
 	} {
-		if got := show(e.AcceptCopy(at(c.now), id(c.made), "filao", "cut", c.number, at(c.received), at(c.notAfter))); got != c.want {
+		if got := show(e.Accept(at(c.now), id(c.made), "filao", "cut", c.number, at(c.received), at(c.notAfter))); got != c.want {
 			t.Errorf("%d: got %q, want %q", i, got, c.want)
 		}
 	}
@@ -172,14 +172,14 @@
 	var all sync.WaitGroup
 	for range cap(runs) {
 		all.Go(func() {
-			if d := k.Begin(at(1), id(0), "filao", "cut", 1, at(9)); d.Kind != DecisionRunning {
+			if d := k.Begin(at(1), id(0), "filao", "cut", 1, at(9), Attempt{}); d.Kind != DecisionRunning {
 				runs <- d.Kind
 			}
 		})
 	}
 	all.Wait()
-	if len(runs) != 1 || <-runs != DecisionRun || k.Usage().Running != 1 {
-		t.Errorf("%d copies not told that the order runs; %+v", len(runs)+1, k.Usage())
+	if len(runs) != 1 || <-runs != DecisionRun || k.table.Running() != 1 {
+		t.Errorf("%d copies not told that the order runs; %d run", len(runs)+1, k.table.Running())
 	}
 }
 
@@ -213,7 +213,7 @@
 		for i, g := range guards {
 			_, _, limit := g.Claim(id(float64(second)))
 			table := NewTable(Config{})
-			got := table.Begin(now, id(float64(second)), "filao", "cut", 1, limit).Kind == DecisionRun
+			got := table.Begin(now, id(float64(second)), "filao", "cut", 1, limit, Attempt{}).Kind == DecisionRun
 			if want := i < 3 || now.Before(epoch.Add(homes.Delay-homes.ClockMargin)); got != want {
 				t.Fatalf("%s after %d s: runs %t", names[i], second, got)
 			}
@@ -221,12 +221,12 @@
 	}
 	// Callers that ask for an id get one that runs, although d and e are out.
 	for range 100 {
-		made, ok := FreshID(at(3600), d, "cutdesk", func(vm string) bool { return vm < "d" }, randomBytes)
+		made, ok := FreshID(at(3600), d, "cutdesk", func(h homes.Home) bool { return h.VM < "d" }, randomBytes)
 		if home, _ := d.Home("cutdesk", made); !ok || home.VM >= "d" {
 			t.Fatalf("id at home %s, %t", home.VM, ok)
 		}
 	}
-	if _, ok := FreshID(at(3600), d, "cutdesk", func(string) bool { return false }, randomBytes); ok {
+	if _, ok := FreshID(at(3600), d, "cutdesk", func(homes.Home) bool { return false }, randomBytes); ok {
 		t.Error("an id although no home is reachable")
 	}
 }
@@ -252,7 +252,7 @@
 		n++
 		now := epoch.Add(time.Duration(n) * 5 * time.Millisecond) // 200 a second
 		made, _ := newID(now, randomBytes)
-		t.Begin(now, made, "filao", "cut", 1, now.Add(time.Minute))
+		t.Begin(now, made, "filao", "cut", 1, now.Add(time.Minute), Attempt{})
 		t.Sent(now, made, "filao", "cut")
 		t.End(now, made, "filao", "cut", Answer{Verdict: contract.Ran})
 		t.Expire(now)
@@ -268,7 +268,7 @@
 		for i := range records {
 			now := epoch.Add(time.Duration(i) * 6 * time.Millisecond)
 			made, _ := newID(now, randomBytes)
-			t.Begin(now, made, "filao", "cut", 1, now.Add(time.Minute))
+			t.Begin(now, made, "filao", "cut", 1, now.Add(time.Minute), Attempt{})
 			t.End(now, made, "filao", "cut", Answer{Verdict: contract.Ran})
 		}
 		b.ReportMetric(float64(heap()-before)/records, "B/record")
--- a/internal/order/sender.go
+++ b/internal/order/sender.go
@@ -26,15 +26,10 @@
 
 // FreshID makes an order id whose home, by the document, can be reached, so
 // that callers go on at once while a home is gone and its list still counts. It
-// is false where no reachable home was drawn or random fails. Where reachable
-// can tell incarnations apart, use FreshIDWhere: a VM that was just restarted
-// is not the home that the list names.
-func FreshID(now time.Time, d *homes.Document, service string, reachable func(vm string) bool, random io.Reader) (contract.OrderID, bool) {
-	return FreshIDWhere(now, d, service, func(h homes.Home) bool { return reachable(h.VM) }, random)
-}
-
-// FreshIDWhere is FreshID with a choice by VM and incarnation.
-func FreshIDWhere(now time.Time, d *homes.Document, service string, reachable func(homes.Home) bool, random io.Reader) (contract.OrderID, bool) {
+// is false where no reachable home was drawn or random fails. reachable tells
+// incarnations apart: a VM that was just restarted is not the home that the
+// list names.
+func FreshID(now time.Time, d *homes.Document, service string, reachable func(homes.Home) bool, random io.Reader) (contract.OrderID, bool) {
 	for range maxDraws {
 		id, err := newID(now, random)
 		if err != nil {
--- a/internal/order/table.go
+++ b/internal/order/table.go
@@ -90,16 +90,10 @@
 	}
 }
 
-// Begin decides on a copy of an order of which nothing but its content is
-// known, see BeginAttempt.
-func (t *Table) Begin(now time.Time, id contract.OrderID, owner, kind string, fingerprint uint64, limit time.Time) Decision {
-	return t.BeginAttempt(now, id, owner, kind, fingerprint, limit, Attempt{})
-}
-
-// BeginAttempt decides on a copy of an order at its home. fingerprint is of the
+// Begin decides on a copy of an order at its home. fingerprint is of the
 // request's content; limit is homes.Authority.Limit. On DecisionRun the record
 // stands and the caller must see to Sent and then End or Abandon.
-func (t *Table) BeginAttempt(now time.Time, id contract.OrderID, owner, kind string, fingerprint uint64, limit time.Time, a Attempt) Decision {
+func (t *Table) Begin(now time.Time, id contract.OrderID, owner, kind string, fingerprint uint64, limit time.Time, a Attempt) Decision {
 	now = t.advance(now)
 	if a.Received.IsZero() {
 		a.Received = now
