Node: the time line is written by timeline.Trace.Encode

serveTimeline had its own copy of Encode, without its errors; Encode itself ran in tests alone, with Decode, which the operators' command uses. Now the pair that is tested is the pair that runs. An error answers 500 instead of half a time line.

--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -67,14 +67,11 @@
 		rc.Error("since: want a number, the hlc of an event\n", fasthttp.StatusBadRequest)
 		return
 	}
-	trace := n.events.Trace(since)
 	var body bytes.Buffer
-	lines := json.NewEncoder(&body)
-	for _, e := range trace.Events {
-		_ = lines.Encode(e)
+	if err := n.events.Trace(since).Encode(&body); err != nil {
+		rc.Error(err.Error()+"\n", fasthttp.StatusInternalServerError)
+		return
 	}
-	trace.Events = nil
-	_ = lines.Encode(trace)
 	rc.SetContentType("application/x-ndjson")
 	rc.SetBody(body.Bytes())
 }
