--- a/internal/catalogue/history.go
+++ b/internal/catalogue/history.go
@@ -57,15 +57,6 @@
 	return nil
 }
 
-// History returns the kept changes, newest first.
-func (e *Editor) History(ctx context.Context) ([]Change, error) {
-	d, err := e.Load(ctx)
-	if err != nil {
-		return nil, err
-	}
-	return d.Changes(), nil
-}
-
 // Revert makes a new version with the content of an old one. The entries of
 // the edit are set by it; its Base is set to the present version where it is
 // 0. Entries that others change at the same moment are conflicts or merge, as
--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -194,8 +194,7 @@
 		return f.nodes[0].node.homes.Current().Version >= version+3
 	})
 	for _, m := range f.nodes {
-		events, _ := m.node.events.Since(0)
-		for _, e := range events {
+		for _, e := range m.node.events.Trace(0).Events {
 			if e.Kind == timeline.KindMember && e.Detail != "up" {
 				t.Errorf("%s says of %s: %s", m.cfg.VM, e.Peer, e.Detail)
 			}
--- a/internal/timeline/recorder.go
+++ b/internal/timeline/recorder.go
@@ -92,15 +92,9 @@
 	return r.clock.Now(now)
 }
 
-// Since returns the events with a higher stamp, oldest first, and how many
-// more of them may have been overwritten: none where hlc is newer than all
-// overwritten ones, else all overwritten ones.
-func (r *Recorder) Since(hlc uint64) ([]Event, uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.since(hlc)
-}
-
+// since returns the events with a higher stamp, oldest first, and how many more
+// of them may have been overwritten: none where hlc is newer than all
+// overwritten ones, else all overwritten ones. The caller holds the lock.
 func (r *Recorder) since(hlc uint64) ([]Event, uint64) {
 	size := uint64(len(r.ring))
 	first, gap := uint64(0), uint64(0)
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -85,7 +85,8 @@
 	}{
 		{0, 16, 4}, {4, 16, 4}, {5, 15, 0}, {18, 2, 0}, {20, 0, 0},
 	} {
-		events, gap := r.Since(Stamp(epoch.Add(tc.since * time.Millisecond)))
+		trace := r.Trace(Stamp(epoch.Add(tc.since * time.Millisecond)))
+		events, gap := trace.Events, trace.Gap
 		if len(events) != tc.want || (tc.since != 4 && gap != tc.gap) {
 			t.Errorf("since %d ms: %d events, gap %d; want %d, %d", tc.since, len(events), gap, tc.want, tc.gap)
 		}
