Sidecar tests: lookups and orders on a link that goes silent for good

A lookup is answered by another upstream within 4 s, an order waits for its time and is sent nowhere else.

--- a/internal/sidecar/world_test.go
+++ b/internal/sidecar/world_test.go
@@ -18,6 +18,7 @@
 	"heathershed/internal/platform/fake"
 	"heathershed/internal/platform/standin"
 	"heathershed/internal/settings"
+	"heathershed/internal/soak"
 	"heathershed/platform"
 	"heathershed/platform/platformtest"
 )
@@ -74,13 +75,19 @@
 // configure writes a configuration in which each service has a route /NAME/ of
 // lookups and a route /NAME-order/ of orders.
 func (w *world) configure(version int, services ...string) {
+	w.t.Helper()
+	w.write(platformtest.Config(version, services...))
+}
+
+// write writes a configuration.
+func (w *world) write(spec string) {
 	w.t.Helper()
 	objects := platform.NewObjects(w.address)
 	old, err := objects.Get(w.t.Context(), platform.ConfigKind, platform.ConfigName)
 	if err != nil {
 		old = platform.Object{Name: platform.ConfigName}
 	}
-	if _, err := objects.Put(w.t.Context(), platform.ConfigKind, platform.Object{Name: old.Name, Revision: old.Revision, Spec: []byte(platformtest.Config(version, services...))}); err != nil {
+	if _, err := objects.Put(w.t.Context(), platform.ConfigKind, platform.Object{Name: old.Name, Revision: old.Revision, Spec: []byte(spec)}); err != nil {
 		w.t.Fatal(err)
 	}
 }
@@ -137,6 +144,30 @@
 
 // startIn does so in any data centre.
 func (w *world) startIn(service, datacentre string) *vm {
+	w.t.Helper()
+	m := w.prepare(service, datacentre)
+	m.run()
+	w.t.Cleanup(m.halt)
+	return m
+}
+
+// startBehind does so with a proxy before the node's links.
+func (w *world) startBehind(service string) (*vm, *soak.Proxy) {
+	w.t.Helper()
+	m := w.prepare(service, "west")
+	m.cfg.Announce = strings.Replace(m.cfg.Link, ":7002", ":7012", 1)
+	proxy, err := soak.NewProxy(m.cfg.Announce, m.cfg.Link)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(proxy.Close)
+	m.run()
+	w.t.Cleanup(m.halt)
+	return m, proxy
+}
+
+// prepare starts an upstream and returns a node that does not run yet.
+func (w *world) prepare(service, datacentre string) *vm {
 	w.t.Helper()
 	number := vmNumber.Add(1)
 	ip := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, 40+number/200, 1+number%200)
@@ -149,15 +180,12 @@
 	server := &http.Server{Handler: up}
 	go func() { _ = server.Serve(l) }()
 	w.t.Cleanup(func() { _ = server.Close() })
-	m := &vm{w: w, up: up, cfg: &settings.Sidecar{
+	return &vm{w: w, up: up, cfg: &settings.Sidecar{
 		VM: fmt.Sprint("vm-", number), Datacentre: datacentre, Region: "r", Service: service,
 		Clients: ip + ":7001", Link: ip + ":7002", Announce: ip + ":7002", Ready: ip + ":7003", Heartbeats: ip + ":7004", Metrics: ip + ":7005",
 		Upstream: up.address, Platform: w.address,
 		Grace: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Memory: 64 << 20,
 	}}
-	m.run()
-	w.t.Cleanup(m.halt)
-	return m
 }
 
 func (m *vm) run() {
@@ -215,13 +243,18 @@
 
 // ask sends a request as a client does.
 func (m *vm) ask(method, path string, body []byte) answer {
+	return m.askFor(2500*time.Millisecond, method, path, body)
+}
+
+// askFor does so with so much time.
+func (m *vm) askFor(left time.Duration, method, path string, body []byte) answer {
 	req, err := http.NewRequestWithContext(m.w.t.Context(), method, "http://"+m.cfg.Clients+path, bytes.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
 	req.Host = "h"
 	req.Header.Set(platformtest.HeaderAttempt, fmt.Sprint("a-", attemptNumber.Add(1)))
-	req.Header.Set(platformtest.HeaderRemaining, "2500")
+	req.Header.Set(platformtest.HeaderRemaining, fmt.Sprint(left.Milliseconds()))
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return answer{err: err}
