A stopping node lets in the calls of work that its upstream still does

After the notice of a planned stop a request that could outlast the node is told 'not run'. Calls of the own upstream were told so too, so a request that was let in before the stop failed in its upstream, with 500, two and a half seconds after SIGTERM. Such a call is bounded by the request that it belongs to; it goes on. TestCallsOfWorkThatRunsGoOnDuringAStop: 503 before, 200 after.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -122,7 +122,7 @@
 		c.level = levelOf(route.Rank, c.attempt)
 	}
 	n.bound(c, now, origin.Elapsed)
-	if !n.admits(now, c.deadline) {
+	if !c.inner && !n.admits(now, c.deadline) {
 		return c, ending.Refused(contract.ReasonLeaving, "the node stops")
 	}
 	c.method = string(rc.Method())
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -279,3 +281,39 @@
 		}
 	}
 }
+
+// TestCallsOfWorkThatRunsGoOnDuringAStop has an upstream make a call for a request
+// that it took before its node began to stop, after clients have had notice.
+func TestCallsOfWorkThatRunsGoOnDuringAStop(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.configure(1, "near", "far")
+	near, far := w.start("near"), w.start("far")
+	near.beat("near", "ready")
+	far.beat("far", "ready")
+	near.serves("/far/x")
+	far.serves("/near/x")
+	var stopping atomic.Bool
+	near.up.set(func(rw http.ResponseWriter, r *http.Request) {
+		left, err := strconv.Atoi(r.Header.Get(platformtest.HeaderRemaining))
+		if err != nil {
+			t.Error(err)
+		}
+		began := time.Now()
+		w.until("clients have had notice", func() bool {
+			plan := near.node.plan.Load()
+			return !stopping.Load() || plan != nil && time.Now().After(plan.noticed)
+		})
+		end := time.Duration(left)*time.Millisecond - time.Since(began)
+		rw.WriteHeader(near.askFor(end, "GET", "/far/x", nil).status)
+	})
+	for range 20 { // the node learns which calls belong to which work
+		far.ask("GET", "/near/1", nil)
+	}
+	stopping.Store(true)
+	end := inFlight(far, near, "GET", "/near/1")
+	near.stop()
+	if got := <-end; got.status != http.StatusOK {
+		t.Errorf("%+v, want the call of the running work answered", got)
+	}
+}
