Front: a caller that waits longer than 10 s is not taken for gone

Seen: while a request is served, the front reads one byte to notice that its caller leaves. The library's deadline for the sending of a request, 10 s from its first byte, was still set on the connection: a handler that took longer had its context ended although the caller was there, and the upstream at work lost its request. Now the watch clears that deadline first. The new test failed before: the context ended after the deadline of 50 ms.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -28,6 +28,8 @@
 	if !idle {
 		return func() {}
 	}
+	// The time that the caller had to send its request is over.
+	_ = c.Conn.SetReadDeadline(time.Time{})
 	done := make(chan struct{})
 	stopping := make(chan struct{})
 	go c.waitByte(cancel, stopping, done)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -115,6 +116,38 @@
 	<-ended
 }
 
+// TestCallerThatWaitsIsNotTakenForGone has a handler take longer than the time
+// that its caller had to send the request.
+func TestCallerThatWaitsIsNotTakenForGone(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	caller, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer raw.Close()
+	const timeToSend = 50 * time.Millisecond
+	_ = raw.SetReadDeadline(time.Now().Add(timeToSend))
+	c := &watchedConn{Conn: raw}
+	ctx, cancel := context.WithCancel(t.Context())
+	stop := c.watch(cancel)
+	defer stop()
+	select {
+	case <-ctx.Done():
+		t.Fatal("a caller that waits for its answer was taken for gone")
+	case <-time.After(4 * timeToSend):
+	}
+	_ = caller.Close()
+	<-ctx.Done()
+}
+
 func TestRequestsSentAheadAreAllAnswered(t *testing.T) {
 	address, _, _ := serveOne(t)
 	c, err := net.Dial("tcp", address)
