Node: time for the last answers of a stop to be seen as written

The library looks at its connections every 100 ms, and the end of the wait came at that very moment. 150 ms hold one such look. The stop's parts still fit in the half second that is left of the grace: 150 ms, 100 ms for duties, 200 ms for the log.

--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -16,7 +16,7 @@
 	margin = 500 * time.Millisecond
 	// answerTime is how long the answers to what was ended take to be written,
 	// and dutyTime how long the duties take to end then. Both fit in the margin.
-	answerTime = 100 * time.Millisecond
+	answerTime = 150 * time.Millisecond
 	dutyTime   = 100 * time.Millisecond
 	// linkTime is how long other nodes take to leave the links.
 	linkTime = 200 * time.Millisecond
