Platform: one note of since when the store answers

trackedStore (node) and storeHealth (sidecar) each kept it by hand, with two meanings: after an outage the node counted from the first answer, the sidecar from the last failure. So the sidecar removes the records of nodes that are gone one retry later after an outage than before (at most 2.6 s of wait, of the 20 s that it asks for). What counts as an answer stays as it was in each; the logs are the same.

--- a/internal/node/tracked.go
+++ b/internal/node/tracked.go
@@ -16,7 +16,7 @@
 	inner platform.Store
 
 	mu                     sync.Mutex
-	since                  time.Time // answered every call since; zero while it doesn't
+	answering              platform.Answering
 	lastAnswer             time.Time
 	lastError              string
 	reads, writes, watches uint64
@@ -26,7 +26,7 @@
 func (s *trackedStore) answeredSince() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.since
+	return s.answering.Since()
 }
 
 // note takes in how a call ended. The store's own refusals are answers.
@@ -34,21 +34,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	*count++
-	if err != nil && !isAnswer(err) {
-		if !errors.Is(err, context.Canceled) {
-			s.since = time.Time{}
-			s.lastError = err.Error()
-		}
-		return
+	now := time.Now()
+	switch {
+	case platform.IsAnswer(err):
+		s.lastAnswer = now
+		s.answering.Note(now, true)
+	case !errors.Is(err, context.Canceled): // a call that this node gave up says nothing
+		s.lastError = err.Error()
+		s.answering.Note(now, false)
 	}
-	s.lastAnswer = time.Now()
-	if s.since.IsZero() {
-		s.since = s.lastAnswer
-	}
-}
-
-func isAnswer(err error) bool {
-	return errors.IsAny(err, platform.ErrNotFound, platform.ErrConflict, platform.ErrTooLarge, platform.ErrCompacted)
 }
 
 // Get implements platform.Store.
--- a/internal/sidecar/storecalls.go
+++ b/internal/sidecar/storecalls.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	store "heathershed/internal/platform"
 )
 
 // Calls of the object API, as logs and metrics name them.
@@ -19,10 +21,8 @@
 // storeHealth knows whether the object API answers, to tell once when it is
 // lost and once when it is back.
 type storeHealth struct {
-	mu    sync.Mutex
-	since time.Time // of the first failure; zero while it answers
-	// answering is since when all calls were answered.
-	answering time.Time
+	mu        sync.Mutex
+	answering store.Answering
 	slow      bool
 }
 
@@ -33,18 +33,15 @@
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if err != nil || h.answering.IsZero() {
-		h.answering = now
-	}
+	lost := h.answering.Lost()
+	change := h.answering.Note(now, err == nil)
 	switch {
-	case err != nil && h.since.IsZero():
-		h.since = now
+	case change == store.Lost:
 		n.log.Warn("store lost", "call", call, "err", err)
+	case change == store.Regained:
+		n.log.Info("store regained", "call", call, "away_ms", now.Sub(lost).Milliseconds())
 	case err != nil:
-		n.log.Info("store still away", "call", call, "away_ms", now.Sub(h.since).Milliseconds(), "err", err)
-	case !h.since.IsZero():
-		n.log.Info("store regained", "call", call, "away_ms", now.Sub(h.since).Milliseconds())
-		h.since = time.Time{}
+		n.log.Info("store still away", "call", call, "away_ms", now.Sub(lost).Milliseconds(), "err", err)
 	}
 	if slow := err == nil && now.Sub(began) > slowCall; slow != h.slow && err == nil {
 		h.slow = slow
@@ -56,8 +53,9 @@
 func (h *storeHealth) answeredFor(now time.Time) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.answering.IsZero() || !h.since.IsZero() {
+	since := h.answering.Since()
+	if since.IsZero() {
 		return 0
 	}
-	return now.Sub(h.answering)
+	return now.Sub(since)
 }
