Sidecar: a call that was given up, or refused, is no lost store

Each planned stop wrote "store lost" as a warning, since the waiting watch ends with the context: operators read of an outage that was none. A conflict, which is an answer, counted as one too, and held back the removal of records for 20 s. Both are told apart as internal/node does. Metrics count the calls as before.

--- a/internal/sidecar/storecalls.go
+++ b/internal/sidecar/storecalls.go
@@ -1,9 +1,12 @@
 package sidecar
 
 import (
+	"context"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	store "heathershed/internal/platform"
 )
 
@@ -29,24 +32,43 @@
 // called takes in the outcome of a call that waits for nothing else.
 func (n *Node) called(call string, began time.Time, err error) {
 	n.metrics.called(call, err)
-	h := &n.store
+	if errors.Is(err, context.Canceled) {
+		return // this node gave the call up
+	}
+	n.store.mu.Lock()
+	defer n.store.mu.Unlock()
 	now := time.Now()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	lost := h.answering.Lost()
-	change := h.answering.Note(now, err == nil)
+	n.noteAnswering(now, call, err)
+	if err == nil {
+		n.noteSpeed(call, now.Sub(began))
+	}
+}
+
+// noteAnswering tells when the object API is lost and when it is back; the
+// caller holds the lock.
+func (n *Node) noteAnswering(now time.Time, call string, err error) {
+	answering := &n.store.answering
+	lost, answered := answering.Lost(), store.IsAnswer(err)
+	change := answering.Note(now, answered)
 	switch {
 	case change == store.Lost:
 		n.log.Warn("store lost", "call", call, "err", err)
 	case change == store.Regained:
 		n.log.Info("store regained", "call", call, "away_ms", now.Sub(lost).Milliseconds())
-	case err != nil:
+	case !answered:
 		n.log.Info("store still away", "call", call, "away_ms", now.Sub(lost).Milliseconds(), "err", err)
 	}
-	if slow := err == nil && now.Sub(began) > slowCall; slow != h.slow && err == nil {
-		h.slow = slow
-		n.log.Info("store speed", "call", call, "slow", slow, "took_ms", now.Sub(began).Milliseconds())
+}
+
+// noteSpeed tells when the object API becomes slow and when it is no longer;
+// the caller holds the lock.
+func (n *Node) noteSpeed(call string, took time.Duration) {
+	slow := took > slowCall
+	if slow == n.store.slow {
+		return
 	}
+	n.store.slow = slow
+	n.log.Info("store speed", "call", call, "slow", slow, "took_ms", took.Milliseconds())
 }
 
 // answeredFor is how long all calls have been answered.
