Membership: one rule of which of two records is newer

The sidecar had its own, the same but for records of the object API, which have no incarnation; that case stays, the rest is membership.Newer. The sidecar's records carry neither renewals nor lapses, so the rule comes out the same. go test -race of membership and sidecar: ok.

--- a/internal/datacentre/membership/lease.go
+++ b/internal/datacentre/membership/lease.go
@@ -85,11 +85,11 @@
 	return m.State == linkpb.MemberState_MEMBER_STATE_UP || m.State == linkpb.MemberState_MEMBER_STATE_LEAVING
 }
 
-// newer reports whether a wins over b. A VM's own records of one incarnation
+// Newer reports whether a wins over b. A VM's own records of one incarnation
 // are ordered by their renewal, which grows with each of them. A lapse stands
 // just after the record that it was concluded from: a later renewal, though it
 // keeps the sequence, proves that the VM lived on.
-func newer(a, b *linkpb.Member) bool {
+func Newer(a, b *linkpb.Member) bool {
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation > b.Incarnation
 	}
--- a/internal/datacentre/membership/view.go
+++ b/internal/datacentre/membership/view.go
@@ -90,7 +90,7 @@
 		v.put(now, m)
 		return true
 	}
-	if !newer(m, known.member) {
+	if !Newer(m, known.member) {
 		return false
 	}
 	if sum(m) == sum(known.member) {
--- a/internal/datacentre/membership/view_test.go
+++ b/internal/datacentre/membership/view_test.go
@@ -51,7 +51,7 @@
 	before := v.Members()
 	change()
 	for _, b := range before {
-		if m, ok := v.Member(b.Vm); !ok || newer(b, m) {
+		if m, ok := v.Member(b.Vm); !ok || Newer(b, m) {
 			return errors.Newf("record of %s went back: %v to %v", b.Vm, b, m)
 		}
 	}
@@ -218,7 +218,7 @@
 	}
 	foreign := testMember(0, 5)
 	foreign.Sequence, foreign.RenewedUnixMs = 99, start.Add(time.Hour).UnixMilli()
-	if got := v.Apply(start, []*linkpb.Member{foreign}); len(got) != 1 || !newer(got[0], foreign) {
+	if got := v.Apply(start, []*linkpb.Member{foreign}); len(got) != 1 || !Newer(got[0], foreign) {
 		t.Errorf("a foreign record of this VM is answered by %v", got)
 	}
 	lapsed := proto.Clone(renewed).(*linkpb.Member)
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	linkpb "heathershed/api/link"
+	"heathershed/internal/datacentre/membership"
 	"heathershed/internal/fleet"
 	"heathershed/internal/link"
 )
@@ -96,14 +97,13 @@
 	return old, true
 }
 
+// newer reports whether m replaces old. Of two records of the object API, which
+// have no incarnation, another address does.
 func newer(m, old *linkpb.Member) bool {
-	if m.Incarnation != old.Incarnation {
-		return m.Incarnation > old.Incarnation
-	}
-	if m.Incarnation == 0 {
+	if m.Incarnation == 0 && old.Incarnation == 0 {
 		return m.Address != old.Address
 	}
-	return m.Sequence > old.Sequence
+	return membership.Newer(m, old)
 }
 
 // forget removes a node.
