Telemetry: one count of how the calls of callers ended

Both nodes kept a histogram and counters side by side, with the same method to feed them. Calls is both; the metrics' names and buckets stay. go test -race of node and sidecar: ok.

--- a/internal/node/caller.go
+++ b/internal/node/caller.go
@@ -60,7 +60,7 @@
 		reply = n.seeThrough(ctx, c, began)
 	}
 	c.speakOfID(reply)
-	n.metrics.caller(reply, time.Since(began))
+	n.metrics.calls.Ended(reply, time.Since(began))
 	n.recordEnd(c, reply)
 	front.WriteReply(rc, reply, c.root.String())
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -7,7 +7,6 @@
 
 	"github.com/uber-go/tally/v4"
 
-	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
 	"heathershed/internal/report"
 	"heathershed/internal/telemetry"
@@ -25,8 +24,7 @@
 // are made at the start, none on the way of a call.
 type metrics struct {
 	scrapes  http.Handler
-	ended    telemetry.Ends
-	latency  tally.Histogram
+	calls    *telemetry.Calls
 	retries  tally.Counter
 	inFlight tally.Gauge
 	queued   tally.Gauge
@@ -39,7 +37,7 @@
 
 func newMetrics() *metrics {
 	scope, handler := telemetry.NewScope(reportEvery)
-	m := &metrics{scrapes: handler, ended: telemetry.NewEnds(scope, "calls_ended")}
+	m := &metrics{scrapes: handler, calls: telemetry.NewCalls(scope, "calls_ended", "call_seconds", buckets)}
 	for c := range m.shedBy {
 		for r := range m.shedBy[c] {
 			m.shedBy[c][r] = scope.Tagged(map[string]string{
@@ -48,7 +46,6 @@
 			}).Counter("calls_shed")
 		}
 	}
-	m.latency = telemetry.Durations(scope, "call_seconds", buckets)
 	m.retries = scope.Counter("retries")
 	m.inFlight = scope.Gauge("admission_in_flight")
 	m.queued = scope.Gauge("admission_queued")
@@ -59,12 +56,6 @@
 
 func (m *metrics) handler() http.Handler { return m.scrapes }
 
-// caller counts the end of a call that a caller or the own upstream made here.
-func (m *metrics) caller(reply *linkpb.CallReply, took time.Duration) {
-	m.latency.RecordDuration(took)
-	m.ended.Count(reply.Verdict, reply.Reason)
-}
-
 // shed counts a refusal at the own upstream.
 func (m *metrics) shed(c contract.Class, r contract.Reason) {
 	if int(c) >= contract.NumClasses || int(r) >= contract.NumReasons {
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -62,7 +62,7 @@
 	}
 	n.answer(rc, c, reply)
 	took := time.Since(began)
-	n.metrics.ended(reply, took)
+	n.metrics.calls.Ended(reply, took)
 	n.logEnd(c, reply, took)
 }
 
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
-	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
 	"heathershed/internal/telemetry"
 	"heathershed/internal/wait"
@@ -26,10 +25,9 @@
 // are made at the start, none on the way of a request.
 type metrics struct {
 	scrapes http.Handler
-	ends    telemetry.Ends
+	calls   *telemetry.Calls
 	away    [contract.NumReasons]tally.Counter
 	repeats tally.Counter
-	latency tally.Histogram
 	wait    tally.Histogram
 	service tally.Histogram
 	store   map[storeOutcome]tally.Counter
@@ -47,9 +45,8 @@
 	scope, handler := telemetry.NewScope(reportEvery)
 	m := &metrics{
 		scrapes:   handler,
-		ends:      telemetry.NewEnds(scope, "requests_ended"),
+		calls:     telemetry.NewCalls(scope, "requests_ended", "request_seconds", buckets),
 		repeats:   scope.Counter("requests_repeated"),
-		latency:   telemetry.Durations(scope, "request_seconds", buckets),
 		wait:      telemetry.Durations(scope, "door_wait_seconds", buckets),
 		service:   telemetry.Durations(scope, "upstream_seconds", buckets),
 		store:     make(map[storeOutcome]tally.Counter),
@@ -73,12 +70,6 @@
 
 func (m *metrics) handler() http.Handler { return m.scrapes }
 
-// ended counts the end of a request that a client or the own upstream made.
-func (m *metrics) ended(reply *linkpb.CallReply, took time.Duration) {
-	m.latency.RecordDuration(took)
-	m.ends.Count(reply.Verdict, reply.Reason)
-}
-
 // ran records a request that the door let in.
 func (m *metrics) ran(waited, service time.Duration) {
 	m.wait.RecordDuration(waited)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
+	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
 )
 
@@ -36,26 +37,35 @@
 	return scope.Histogram(name, tally.MustMakeExponentialDurationBuckets(fastest, 2, buckets))
 }
 
-// Ends counts how calls ended, by verdict and reason.
-type Ends [3][contract.NumReasons]tally.Counter
+// Calls tells how the calls that callers made here ended, and how long they
+// took.
+type Calls struct {
+	ends    [numVerdicts][contract.NumReasons]tally.Counter
+	seconds tally.Histogram
+}
+
+const numVerdicts = 3
 
-// NewEnds returns the counters under a name.
-func NewEnds(scope tally.Scope, name string) (e Ends) {
-	for v := range e {
-		for r := range e[v] {
-			e[v][r] = scope.Tagged(map[string]string{
+// NewCalls returns the counters, by verdict and reason, and the histogram under
+// their names.
+func NewCalls(scope tally.Scope, ends, seconds string, buckets int) *Calls {
+	c := &Calls{seconds: Durations(scope, seconds, buckets)}
+	for v := range c.ends {
+		for r := range c.ends[v] {
+			c.ends[v][r] = scope.Tagged(map[string]string{
 				"verdict": contract.Verdict(v).String(),
 				"reason":  contract.Reason(r).String(),
-			}).Counter(name)
+			}).Counter(ends)
 		}
 	}
-	return e
+	return c
 }
 
-// Count takes in an end as a link carries it. A newer node may know more
-// reasons; those are not counted.
-func (e *Ends) Count(verdict, reason uint32) {
-	if int(verdict) < len(e) && int(reason) < contract.NumReasons {
-		e[verdict][reason].Inc(1)
+// Ended takes in the end of a call. A newer node may know more reasons; those
+// are not counted.
+func (c *Calls) Ended(reply *linkpb.CallReply, took time.Duration) {
+	c.seconds.RecordDuration(took)
+	if int(reply.Verdict) < len(c.ends) && int(reply.Reason) < contract.NumReasons {
+		c.ends[reply.Verdict][reply.Reason].Inc(1)
 	}
 }
