Front: a caller that leaves a request sent ahead is noticed

Since one read waits for the next request and goes on after a handler, a request that was already in the buffer began beside that read, and its caller's leaving was not told to it. TestLeavingCallerCancelsARequestThatItSentAhead does not end within 10 s without it.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -34,12 +34,15 @@
 func (c *watchedConn) watch(left context.CancelFunc) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.ahead) > 0 || c.err != nil || c.reading != nil {
+	if len(c.ahead) > 0 || c.err != nil {
 		return
 	}
 	// The time that the caller had to send its request is over.
 	_ = c.Conn.SetReadDeadline(time.Time{})
 	c.left = left
+	if c.reading != nil {
+		return // since an earlier request, beside which this one was sent ahead
+	}
 	c.reading = make(chan struct{})
 	go c.readAhead(c.reading)
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -151,6 +151,20 @@
 	<-ctx.Done()
 }
 
+func TestLeavingCallerCancelsARequestThatItSentAhead(t *testing.T) {
+	address, began, ended := serveOne(t)
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Write([]byte("GET /quick HTTP/1.1\r\nHost: x\r\n\r\nGET /slow HTTP/1.1\r\nHost: x\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	<-began
+	_ = c.Close()
+	<-ended
+}
+
 func TestRequestsSentAheadAreAllAnswered(t *testing.T) {
 	address, _, _ := serveOne(t)
 	c, err := net.Dial("tcp", address)
