One request at a time tries a closed door

Cause: a front without news lets its threshold fall until it lets in a slice of lookups, 128 levels, and stood there until the first answer. Change: the request that a fallen threshold lets in tries the door alone; until it ends the threshold stands where it was. Its news open 256 levels at most, the news of those the rest: a door that was idle for a moment tells 0.

--- a/internal/vm/pressure/pressure.go
+++ b/internal/vm/pressure/pressure.go
@@ -9,9 +9,9 @@
 // follows news within a few tenths of a second both ways.
 //
 // A front door that refuses hears less. So a threshold that nothing confirms
-// falls in steps, and only one slice of the ranks returns with each step. The
-// first request that returns brings the news: while one is under way the
-// threshold stands, else all would return before the first is answered.
+// falls in steps, until a request is let in that brings news. While that one is
+// under way the threshold stands where it was: else many would return before
+// the first is answered. Its news open one slice, and theirs the rest.
 package pressure
 
 import (
@@ -32,6 +32,8 @@
 	// stepEvery and levelsPerStep are the fall of a threshold without news.
 	stepEvery     = 100 * time.Millisecond
 	levelsPerStep = 128
+	// trySlice is what the news of one request open at once.
+	trySlice = 2 * levelsPerStep
 	// forgetAfter is the age at which an entry may be dropped.
 	forgetAfter = time.Minute
 	// maxEntries bounds the table, and maxChildren the sub-calls remembered
@@ -51,6 +53,9 @@
 	heard bool
 	// sent counts the requests that are under way.
 	sent int
+	// trying: one of them was let in by a threshold that had fallen, to tried.
+	trying bool
+	tried  float64
 }
 
 // Table holds the thresholds of other services. It is safe for concurrent
@@ -78,8 +83,8 @@
 	if e == nil {
 		return
 	}
-	if e.sent == 0 {
-		e.level, e.at = e.present(now), now
+	if e.sent == 0 && now.Sub(e.at) > confirmFor {
+		e.trying, e.tried, e.at = true, e.present(now), now
 	}
 	e.sent++
 }
@@ -93,6 +98,7 @@
 		return
 	}
 	if e.sent == 1 {
+		e.trying = false
 		e.level = e.present(now)
 		if stands := now.Add(-confirmFor); e.at.Before(stands) {
 			e.at = stands // falls on from here
@@ -200,6 +206,10 @@
 		e.heard, e.level, e.at = true, float64(level), now
 		return
 	}
+	if e.trying {
+		e.trying, e.level, e.at = false, max(float64(level), e.tried-trySlice), now
+		return
+	}
 	present := e.present(now)
 	dt := max(now.Sub(e.at), 0)
 	weight := 1 - math.Exp(-float64(dt)/float64(meanOver))
