Peers: draw the wanted links again only after a change

Seen: each second a node drew the subset of nodes it wants links to and compared it with the links, though nothing had changed. The draw follows from the known nodes, their records and which links are down, and for how long; so it is made again only after a record or a link has changed, or while a wanted link is down.

--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -35,6 +35,9 @@
 	// link to one of them has not been up.
 	wanted map[string]bool
 	down   map[string]time.Time
+	// changed is set where a node or a link has changed since links were wanted
+	// last.
+	changed bool
 	// fetching is set while a configuration is asked for.
 	fetching atomic.Bool
 }
@@ -86,6 +89,7 @@
 		return old, false
 	}
 	p.members[m.Vm] = m
+	p.changed = true
 	p.n.fleet.Put(fleet.Upstream{
 		VM:         m.Vm,
 		Service:    m.Service,
--- a/internal/sidecar/wanted.go
+++ b/internal/sidecar/wanted.go
@@ -26,16 +26,28 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			p.want()
+			p.wantAgain()
 		}
 	}
 }
 
+// wantAgain asks for links where that may change them: by what has changed, or
+// by how long a link has been down.
+func (p *peers) wantAgain() {
+	p.mu.Lock()
+	settled := !p.changed && len(p.down) == 0
+	p.mu.Unlock()
+	if !settled {
+		p.want()
+	}
+}
+
 // want asks for links to a subset of the known nodes.
 func (p *peers) want() {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.changed = false
 	wanted := make(map[string]bool)
 	for _, vm := range fleet.Subset(p.n.cfg.VM, p.n.cfg.Datacentre, p.candidates(now)) {
 		wanted[vm] = true
@@ -110,6 +122,7 @@
 func (p *peers) linked(vm string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.changed = true
 	up := p.n.links.Up(vm)
 	p.n.fleet.Linked(vm, up)
 	if up {
--- /dev/null
+++ b/internal/sidecar/wanted_test.go
@@ -0,0 +1,114 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	linkpb "heathershed/api/link"
+	"heathershed/internal/fleet"
+	"heathershed/internal/link"
+	"heathershed/internal/settings"
+)
+
+// knowing returns a node that knows others of four services and wants links to
+// a subset of them; none comes up.
+func knowing(t testing.TB, others int) *Node {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	group, ctx := errgroup.WithContext(ctx)
+	n := New(&settings.Sidecar{VM: "vm", Datacentre: "dc0"}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	n.links = link.NewSet(ctx, group, n, &n.traffic, func(ctx context.Context, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	t.Cleanup(func() {
+		cancel()
+		_ = group.Wait() // its duties end by the context
+	})
+	var members []*linkpb.Member
+	for i := range others {
+		members = append(members, &linkpb.Member{
+			Vm: fmt.Sprint("vm-", i), Address: "127.0.0.1:1", Incarnation: 1, Sequence: 1,
+			Service: fmt.Sprint("s", i%4), Datacentre: fmt.Sprint("dc", i/4%4),
+		})
+	}
+	n.peers.learn(members...)
+	return n
+}
+
+// settle takes all links for up.
+func (p *peers) settle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.down)
+}
+
+// drawn are the links that a new look would want, with none down.
+func (n *Node) drawn() []string {
+	p := n.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return fleet.Subset(n.cfg.VM, n.cfg.Datacentre, p.candidates(time.Now()))
+}
+
+func (n *Node) wantedNow() []string {
+	p := n.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.wanted))
+}
+
+func TestLinksAreDrawnAgainOnlyAfterAChange(t *testing.T) {
+	n := knowing(t, 20)
+	p := n.peers
+	p.settle()
+	changes := map[string]func(){
+		"a link that is not up": func() { p.linked("vm-0") },
+		"a known node's record": func() {
+			p.learn(&linkpb.Member{Vm: "vm-1", Address: "127.0.0.1:1", Incarnation: 1, Sequence: 9, Service: "s9"})
+		},
+		"a node that is gone": func() { p.forget("vm-2") },
+		"a new node": func() {
+			p.learn(&linkpb.Member{Vm: "vm-new", Address: "127.0.0.1:1", Incarnation: 1, Sequence: 1, Service: "s-new"})
+		},
+	}
+	for name, change := range changes {
+		change()
+		p.wantAgain()
+		if want := fmt.Sprint(n.drawn()); fmt.Sprint(n.wantedNow()) != want {
+			t.Errorf("%s: links to %v, want %s", name, n.wantedNow(), want)
+		}
+		p.settle()
+		p.wantAgain()
+		if p.changed {
+			t.Errorf("%s: taken for a change for good", name)
+		}
+	}
+}
+
+func BenchmarkWantAgain(b *testing.B) {
+	for _, nodes := range []int{74, 600} {
+		n := knowing(b, nodes)
+		n.peers.settle()
+		b.Run(fmt.Sprintf("nodes=%d/changed", nodes), func(b *testing.B) {
+			for b.Loop() {
+				n.peers.changed = true
+				n.peers.wantAgain()
+			}
+		})
+		b.Run(fmt.Sprintf("nodes=%d/settled", nodes), func(b *testing.B) {
+			for b.Loop() {
+				n.peers.wantAgain()
+			}
+		})
+	}
+}
