Soak: processes short of processor time, slow upstreams, and requests given up

Cause: no check said that a request at which an upstream is at work is seen through, so ending it with 502 or 504 was free; and nothing was ever slow: clients waited 2 s, the longest work took 60 ms.

Change: two kinds of fault, a process that runs for 20 ms of each 100 and an upstream that takes 1.5 to 4 s for each answer. The check 'given up' fails where a node ends a request with 502 or 504 though an upstream began it and answers in the client's time with 500 ms to spare. It is excused by what ends requests on their own way alone: a process killed or paused for over 1 s, links to the door reset or silent, the way to its upstream cut, the upstream gone. A planned stop, a slow upstream, delays, short pauses and a process short of time excuse nothing. After the drawn faults of each run all upstreams are slow and all links delayed, one node is short of processor time and another stops: nothing then excuses anything.

Clients wait 6 s now, so the grace is 8 s and routes allow 8 s; a client sees after 1 s that its node stops, as the platform's do, and 'cut' judges the requests of that second too.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -16,8 +16,12 @@
 const (
 	// patience is what a client leaves a request, and lateBound how much later
 	// its answer may come.
-	patience  = 2 * time.Second
+	patience  = 6 * time.Second
 	lateBound = time.Second
+	// probePatience is the same for requests that look at a node's state.
+	probePatience = 2 * time.Second
+	// noticeTime is how long clients take to see that their node stops.
+	noticeTime = time.Second
 	// callSize is the length of the answers to calls of upstreams, in bytes.
 	callSize = 200
 	// maxSize and maxWork bound the answers and the work asked for.
@@ -85,6 +89,9 @@
 	}
 	told := meaning(resp.StatusCode)
 	l.Answered(r.attempt, told)
+	if resp.StatusCode == http.StatusBadGateway || resp.StatusCode == http.StatusGatewayTimeout {
+		l.GaveUp(r.attempt)
+	}
 	if told == ToldWhole && !bytes.Equal(body, Body(r.attempt, r.size)) {
 		l.Add(Partial, r.attempt, fmt.Sprintf("%d bytes of %d, beginning %.40q", len(body), r.size, body))
 	}
@@ -125,7 +132,10 @@
 	way := &http.Transport{MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1}
 	defer way.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
-		pause := c.one(way, n)
+		var pause time.Duration
+		if !c.m.leftSince(time.Now().Add(-noticeTime)) {
+			pause = c.one(way, n)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(max(pause, time.Duration(c.random.Int64N(int64(thinkTime))))):
@@ -139,6 +149,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), patience+lateBound)
 	defer cancel()
 	c.ledger.Sent(r.attempt, r.order)
+	c.ledger.Awaits(r.attempt, c.m.name, time.Now().Add(patience))
 	if leaves := c.random.Float64() < leaveShare; leaves {
 		r.work = longWork
 		timer := time.AfterFunc(time.Duration(5+c.random.IntN(100))*time.Millisecond, func() {
@@ -177,12 +188,12 @@
 		return
 	}
 	if ctx.Err() != nil {
-		if c.ledger.Quiet(began, faultPause, c.m.downFault()) {
+		if c.ledger.Quiet(began, faultPause, downFault(c.m.name)) {
 			c.ledger.Add(Lost, r.attempt, fmt.Sprintf("no answer after %v", time.Since(began).Round(time.Millisecond)))
 		}
 		return
 	}
-	if at := c.m.stopped(); !at.IsZero() && began.Before(at) && c.ledger.Quiet(began, c.m.downFault()) {
-		c.ledger.Add(Cut, r.attempt, fmt.Sprintf("sent %v before the planned stop of %s", at.Sub(began).Round(time.Millisecond), c.m.name))
+	if at := c.m.stopped(); !at.IsZero() && began.Before(at.Add(noticeTime)) && c.ledger.Quiet(began, downFault(c.m.name)) {
+		c.ledger.Add(Cut, r.attempt, fmt.Sprintf("sent %v after the planned stop of %s", began.Sub(at).Round(time.Millisecond), c.m.name))
 	}
 }
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -30,6 +30,9 @@
 	AfterClose Promise = "work after close"
 	// Cut: a planned stop cuts no request.
 	Cut Promise = "cut"
+	// GivenUp: a request is not ended with 502 or 504 while an upstream is at work
+	// on it and answers in its time.
+	GivenUp Promise = "given up"
 )
 
 // Violation is one broken promise.
@@ -62,6 +65,12 @@
 	runs  int
 	told  Told
 	left  time.Time // when its client left; zero: it has not
+	// from and until are the machine that it goes to and its client's deadline;
+	// gaveUp is when the nodes ended it without an upstream's answer.
+	from          string
+	until, gaveUp time.Time
+	works         []work
+	judged        bool // it was told as given up
 }
 
 // Ledger is safe for concurrent use.
@@ -112,6 +121,11 @@
 func (l *Ledger) Quiet(since time.Time, faults ...string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.quiet(since, faults...)
+}
+
+// quiet is Quiet; the caller holds the lock.
+func (l *Ledger) quiet(since time.Time, faults ...string) bool {
 	for _, f := range faults {
 		if l.faults[f] > 0 || l.ended[f].After(since) {
 			return false
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -26,8 +26,9 @@
 )
 
 const (
-	// grace bounds a planned stop, and endBound how much later the process ends.
-	grace    = 2 * time.Second
+	// grace bounds a planned stop: noticeTime, patience and what a node keeps of
+	// it for its end. endBound is how much later the process ends.
+	grace    = 8 * time.Second
 	endBound = 2 * time.Second
 	// readyBound is how long a node has until it is ready, with the store away.
 	readyBound = 15 * time.Second
@@ -80,7 +81,7 @@
 	m := &machine{name: p.name, clients: cfg.Clients, ready: cfg.Ready, ledger: l}
 	m.process = NewProcess(filepath.Join(p.dir, p.name+".log"), filepath.Join(p.bin, "heathershed-sidecar"), "-config", ini)
 	m.upstream = &Upstream{
-		ledger: l, service: p.service, listen: at(8080), address: cfg.Upstream, node: cfg.Heartbeats, clients: cfg.Clients,
+		ledger: l, machine: p.name, service: p.service, listen: at(8080), address: cfg.Upstream, node: cfg.Heartbeats, clients: cfg.Clients,
 	}
 	var err error
 	if m.upstreamWay, err = NewProxy(cfg.Upstream, at(8080)); err != nil {
@@ -102,11 +103,8 @@
 	return cfg.Print(f)
 }
 
-// downFault is the fault of a killed process, ownFault any of the node's process
-// or of its way to the object API, and linkFault that of broken links to it.
-func (m *machine) downFault() string { return "down " + m.name }
-func (m *machine) ownFault() string  { return "at " + m.name }
-func (m *machine) linkFault() string { return "links to " + m.name }
+// ownFault is any fault of the node's process or of its way to the object API.
+func (m *machine) ownFault() string { return "at " + m.name }
 
 // start starts the node's process.
 func (m *machine) start() error {
@@ -124,6 +122,13 @@
 	return m.term
 }
 
+// leftSince reports whether the planned stop of the present process began before
+// a time.
+func (m *machine) leftSince(at time.Time) bool {
+	stopped := m.stopped()
+	return !stopped.IsZero() && stopped.Before(at)
+}
+
 // stop stops the process in order.
 func (m *machine) stop() {
 	m.mu.Lock()
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -143,11 +143,11 @@
 	o.probed++
 	id := fmt.Sprint("probe-", o.probed)
 	o.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, patience)
+	ctx, cancel := context.WithTimeout(ctx, probePatience)
 	defer cancel()
 	o.ledger.Sent(id, false)
 	status, _ = ask(ctx, &http.Transport{DisableKeepAlives: true}, o.ledger, request{
-		at: m.clients, path: "/" + added(version) + "/x", attempt: id, left: patience,
+		at: m.clients, path: "/" + added(version) + "/x", attempt: id, left: probePatience,
 	})
 	return status
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -21,6 +21,17 @@
 	leaveTime = 4 * time.Second
 	// foundBound is how long nodes have to replace a link gone silent.
 	foundBound = 4 * time.Second
+	// longPause is the shortest pause that can't be told from an end, and
+	// resumeTime how long others may act on it after it has ended.
+	longPause  = time.Second
+	resumeTime = 500 * time.Millisecond
+	// starveStop and starveRun are the turns of a process short of processor
+	// time, and starveMore and slowMore how much longer than others these faults
+	// last.
+	starveStop = 80 * time.Millisecond
+	starveRun  = 20 * time.Millisecond
+	starveMore = 2 * time.Second
+	slowMore   = 2 * time.Second
 )
 
 // Event is one fault of a plan.
@@ -50,14 +61,16 @@
 	{"stop", stopNode},
 	{"pause", pauseNode},
 	{"reload", reloadNode},
+	{"starve", starveNode},
 	{"crash", crashUpstream},
 	{"leave", leaveUpstream},
 	{"fail", health(Failing)},
 	{"cut answers", health(Cutting)},
+	{"slow", slowUpstream},
 	{"delay", upstreamWay(ModeDelay)},
-	{"reset", upstreamWay(ModeReset)},
-	{"silent in", upstreamWay(ModeSilentIn)},
-	{"silent out", upstreamWay(ModeSilentOut)},
+	{"reset", cutUpstreamWay(ModeReset)},
+	{"silent in", cutUpstreamWay(ModeSilentIn)},
+	{"silent out", cutUpstreamWay(ModeSilentOut)},
 	{"link delay", delayLinks},
 	{"link reset", cutLinks(ModeReset)},
 	{"link silent in", cutLinks(ModeSilentIn)},
@@ -125,7 +138,7 @@
 
 func killNode(r *run, m *machine, e Event) {
 	r.restart(m, e, func() {
-		defer r.ledger.Begin(m.downFault())()
+		defer r.ledger.Begin(downFault(m.name))()
 		m.kill()
 	})
 }
@@ -139,11 +152,29 @@
 	defer m.changing.Unlock()
 	defer r.ledger.Begin(faultPause)()
 	defer r.ledger.Begin(m.ownFault())()
+	if e.For > longPause {
+		defer time.AfterFunc(resumeTime, r.ledger.Begin(pausedFault(m.name)))
+	}
 	m.process.Signal(syscall.SIGSTOP)
 	r.last(e.For)
 	m.process.Signal(syscall.SIGCONT)
 }
 
+// starveNode leaves the process a part of the processor's time. No check excuses
+// anything by it.
+func starveNode(r *run, m *machine, e Event) {
+	if !m.changing.TryLock() {
+		return
+	}
+	defer m.changing.Unlock()
+	for until := time.Now().Add(e.For + starveMore); time.Now().Before(until); {
+		m.process.Signal(syscall.SIGSTOP)
+		time.Sleep(starveStop)
+		m.process.Signal(syscall.SIGCONT)
+		time.Sleep(starveRun)
+	}
+}
+
 func reloadNode(_ *run, m *machine, _ Event) { m.process.Signal(syscall.SIGHUP) }
 
 func crashUpstream(r *run, m *machine, e Event) { r.renew(m, e, func() {}) }
@@ -163,6 +194,7 @@
 	}
 	defer m.upstreamChanging.Unlock()
 	before()
+	defer r.ledger.Begin(upstreamFault(m.name))()
 	m.upstream.Crash()
 	r.last(e.For)
 	if err := m.upstream.Start(); err != nil {
@@ -178,6 +210,11 @@
 	}
 }
 
+func slowUpstream(r *run, m *machine, e Event) {
+	e.For += slowMore
+	health(Slow)(r, m, e)
+}
+
 func upstreamWay(mode Mode) fault {
 	return func(r *run, m *machine, e Event) {
 		defer r.ledger.Begin(faultUpstreamWay)()
@@ -187,6 +224,13 @@
 	}
 }
 
+func cutUpstreamWay(mode Mode) fault {
+	return func(r *run, m *machine, e Event) {
+		defer r.ledger.Begin(upstreamFault(m.name))()
+		upstreamWay(mode)(r, m, e)
+	}
+}
+
 // delayLinks ends nothing, so no check excuses anything by it.
 func delayLinks(r *run, m *machine, e Event) {
 	m.linkWay.Set(ModeDelay)
@@ -214,7 +258,7 @@
 // broken until those that are silent must have been replaced.
 func (r *run) breakLinks(m *machine, cut func()) {
 	defer r.ledger.Begin(faultLinkWay)()
-	defer r.ledger.Begin(m.linkFault())()
+	defer r.ledger.Begin(linkFault(m.name))()
 	cut()
 	r.last(foundBound)
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -35,6 +35,10 @@
 	recoverBound = 10 * time.Second
 	// brownoutTime is shorter than the window of repeats.
 	brownoutTime = 5 * time.Second
+	// stopAfter is how long all upstreams have been slow when a node stops, and
+	// stopFor how long it is away.
+	stopAfter = 2 * time.Second
+	stopFor   = time.Second
 	// storeStart is how long the object API's stand-in has to start.
 	storeStart = 5 * time.Second
 	// pollEvery is the time between two looks at what is awaited.
@@ -81,6 +85,7 @@
 	r.startClients(clients, &all)
 	all.Go(func() { r.operator.run(clients, rand.New(rand.NewPCG(cfg.Seed, 2))) })
 	r.play(report.Plan)
+	r.slowdown()
 	r.brownout()
 	r.awaitRecovery()
 	r.operator.checkAll(ctx)
@@ -178,18 +183,46 @@
 	all.Wait()
 }
 
+// slowdown makes every upstream slow and delays every link, while one node is
+// short of processor time and another one stops in order. Nothing in it excuses a
+// request given up.
+func (r *run) slowdown() {
+	random := rand.New(rand.NewPCG(r.cfg.Seed, 3))
+	starved := random.IntN(len(r.machines))
+	stops := (starved + 1) % len(r.machines)
+	r.setAll(Slow)
+	r.setLinks(ModeDelay)
+	var all sync.WaitGroup
+	all.Go(func() { starveNode(r, r.machines[starved], Event{For: stopAfter}) })
+	all.Go(func() {
+		r.last(stopAfter)
+		stopNode(r, r.machines[stops], Event{For: stopFor})
+	})
+	all.Wait()
+	r.setLinks(ModePass)
+	r.setAll(Healthy)
+}
+
+func (r *run) setLinks(mode Mode) {
+	for _, m := range r.machines {
+		m.linkWay.Set(mode)
+	}
+}
+
+func (r *run) setAll(h Health) {
+	for _, m := range r.machines {
+		m.upstream.Set(h)
+	}
+}
+
 // brownout makes every upstream cut its answers for a time, so that every lookup
 // could be repeated, and checks the repeats.
 func (r *run) brownout() {
-	for _, m := range r.machines {
-		m.upstream.Set(Cutting)
-	}
+	r.setAll(Cutting)
 	before := r.ledger.Counts()
 	r.last(brownoutTime)
 	r.ledger.CheckBudget(before, retryRatio, retrySlack)
-	for _, m := range r.machines {
-		m.upstream.Set(Healthy)
-	}
+	r.setAll(Healthy)
 }
 
 func (r *run) setStore(f fake.Faults) {
@@ -226,9 +259,9 @@
 }
 
 func (r *run) asks(m *machine, service, id string) bool {
-	ctx, cancel := context.WithTimeout(r.ctx, patience)
+	ctx, cancel := context.WithTimeout(r.ctx, probePatience)
 	defer cancel()
-	status, _ := ask(ctx, &http.Transport{DisableKeepAlives: true}, r.ledger, request{at: m.clients, path: "/" + service + "/x", attempt: id, size: callSize, left: patience})
+	status, _ := ask(ctx, &http.Transport{DisableKeepAlives: true}, r.ledger, request{at: m.clients, path: "/" + service + "/x", attempt: id, size: callSize, left: probePatience})
 	return status == http.StatusOK
 }
 
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"heathershed/platform/platformtest"
 )
 
@@ -26,7 +28,9 @@
 	// closeBound is how long work may go on after its caller has left.
 	closeBound = time.Second
 	// callTime is what an upstream leaves a call of its own.
-	callTime = 800 * time.Millisecond
+	callTime  = 800 * time.Millisecond
+	slowLeast = 1500 * time.Millisecond
+	slowMost  = 4 * time.Second
 	// maxAnswer bounds the answers that upstreams and clients read.
 	maxAnswer = 1 << 20
 )
@@ -41,12 +45,15 @@
 	Failing
 	// Cutting closes in the middle of the answer.
 	Cutting
+	// Slow takes slowLeast to slowMost longer.
+	Slow
 )
 
 // Upstream is a recording upstream with the heartbeats that it sends to the
 // node beside it. It is safe for concurrent use.
 type Upstream struct {
 	ledger   *Ledger
+	machine  string
 	service  string
 	listen   string // where it listens
 	address  string // where its node reaches it
@@ -151,28 +158,45 @@
 		return
 	}
 	attempt := r.Header.Get(platformtest.HeaderAttempt)
+	began := time.Now()
 	run := u.ledger.Ran(attempt)
 	if late := time.Since(drained); !drained.IsZero() && late > drainBound && u.ledger.Quiet(time.Now().Add(-drainBound), faultNode) {
 		u.ledger.Add(LateDrain, attempt, fmt.Sprintf("%v after the acknowledgement at %s", late.Round(time.Millisecond), id))
 	}
-	if !u.work(r, attempt, run) {
+	takes := time.Duration(number(r, "work")) * time.Millisecond
+	if health == Slow {
+		takes += slowBy(attempt)
+	}
+	u.callBelow(r, attempt, run)
+	if health != Cutting && r.Context().Err() == nil {
+		u.ledger.Works(attempt, work{at: u.machine, began: began, due: time.Now().Add(takes)})
+	}
+	if !u.work(r, attempt, takes) {
 		return
 	}
 	rw.Header().Set(platformtest.HeaderAttempt, attempt)
 	answer(rw, health, Body(attempt, number(r, "size")))
 }
 
-// work takes the time that the request asks for, after a call to another service
-// where it asks for one, and reports whether it was still wanted at the end.
-func (u *Upstream) work(r *http.Request, attempt string, run int) (wanted bool) {
+// slowBy is how much longer a slow upstream takes for an attempt.
+func slowBy(attempt string) time.Duration {
+	return slowLeast + time.Duration(xxhash.Sum64String(attempt)%uint64(slowMost-slowLeast))
+}
+
+// callBelow calls another service where the request asks for it.
+func (u *Upstream) callBelow(r *http.Request, attempt string, run int) {
 	if u.callPath != "" && r.URL.Query().Has("call") {
 		u.call(r.Context(), fmt.Sprintf("%s-c%d", attempt, run))
 	}
+}
+
+// work takes its time and reports whether it was still wanted at the end.
+func (u *Upstream) work(r *http.Request, attempt string, takes time.Duration) (wanted bool) {
 	began := time.Now()
 	select {
 	case <-r.Context().Done():
 		return false
-	case <-time.After(time.Duration(number(r, "work")) * time.Millisecond):
+	case <-time.After(takes):
 	}
 	u.checkLeft(attempt, began)
 	return true
@@ -194,6 +218,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	u.ledger.Sent(attempt, false)
+	u.ledger.Awaits(attempt, u.machine, time.Now().Add(callTime))
 	ask(ctx, http.DefaultTransport, u.ledger, request{
 		at: u.clients, path: u.callPath, attempt: attempt, size: callSize, left: callTime,
 	})
