Node: three names said what they mean by a picture

farewell, lastWords and speakOfID are newsTime, answerTime (as the sidecar calls it) and extendToID. Names only. go test -race ./internal/node: ok.

--- a/internal/node/caller.go
+++ b/internal/node/caller.go
@@ -59,7 +59,7 @@
 	if reply == nil {
 		reply = n.seeThrough(ctx, c, began)
 	}
-	c.speakOfID(reply)
+	c.extendToID(reply)
 	n.metrics.calls.Ended(reply, time.Since(began))
 	n.recordEnd(c, reply)
 	front.WriteReply(rc, reply, c.root.String())
@@ -100,9 +100,9 @@
 	return c, nil
 }
 
-// speakOfID makes a refusal of this copy of an order true of its id: another
+// extendToID makes a refusal of this copy of an order true of its id: another
 // copy may have run unless the caller says that there is none.
-func (c *call) speakOfID(reply *linkpb.CallReply) {
+func (c *call) extendToID(reply *linkpb.CallReply) {
 	if c.kind == nil || !c.kind.IsOrder() || c.judged || c.order.IsZero() {
 		return
 	}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -16,11 +16,11 @@
 	leaveNotice = 2 * time.Second
 	// idlePoll is how often a stop looks whether calls are in flight.
 	idlePoll = 20 * time.Millisecond
-	// farewell is the time for the last news to leave.
-	farewell = 200 * time.Millisecond
-	// lastWords bounds the time in which calls that were still in flight are
+	// newsTime is the time for the last news to leave.
+	newsTime = 200 * time.Millisecond
+	// answerTime bounds the time in which calls that were still in flight are
 	// told how they ended, and the servers close.
-	lastWords = 2 * time.Second
+	answerTime = 2 * time.Second
 	// recordsPerFrame bounds one frame of handed-over records.
 	recordsPerFrame = 256
 )
@@ -53,12 +53,12 @@
 	n.awaitHomesMoved(grace)
 	n.awaitIdle(grace)
 	n.abort()
-	last, cancelLast := context.WithTimeout(running, lastWords)
+	last, cancelLast := context.WithTimeout(running, answerTime)
 	defer cancelLast()
 	n.awaitIdle(last)
 	n.handOver()
 	n.announceState(linkpb.MemberState_MEMBER_STATE_LEFT)
-	sleep(running, farewell)
+	sleep(running, newsTime)
 	_ = n.front.Shutdown(last)
 	n.server.Shutdown(last)
 	n.log.Info("stopped", "vm", n.cfg.VM, "in_flight", n.inFlight.Load(), "took", time.Since(began).String())
