--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -100,39 +100,56 @@
 		rc.SetConnectionClose()
 		return c, ending.Refused(contract.ReasonBadRequest, "both a length and chunks")
 	}
+	if reply := n.findRoute(rc, c); reply != nil {
+		return c, reply
+	}
+	n.findOrigin(now, c, in.Remaining)
+	if !c.inner && !n.admits(now, c.deadline) {
+		return c, ending.Refused(contract.ReasonLeaving, "the node stops")
+	}
+	c.method = string(rc.Method())
+	c.headers = front.CopyHeadersIf(&rc.Request.Header, platform.PassesRequest)
+	c.body = append([]byte(nil), rc.Request.Body()...)
+	return c, nil
+}
+
+// findRoute finds the route and the service that a request is for, or returns
+// the reply that ends it.
+func (n *Node) findRoute(rc *fasthttp.RequestCtx, c *call) *linkpb.CallReply {
 	table := n.table.Load()
 	if table == nil {
-		return c, ending.Refused(contract.ReasonNoUpstream, "no configuration is known yet")
+		return ending.Refused(contract.ReasonNoUpstream, "no configuration is known yet")
 	}
 	c.host = string(rc.Host())
 	c.uri = string(rc.RequestURI())
 	path, _, _ := strings.Cut(c.uri, "?")
 	route, ok := table.Match(c.host, path)
 	if !ok {
-		return c, ending.Refused(contract.ReasonUnknownKind, "no route of this host and path")
+		return ending.Refused(contract.ReasonUnknownKind, "no route of this host and path")
 	}
 	if limit := table.Limits.BodyBytes; limit > 0 && len(rc.Request.Body()) > limit {
-		return c, ending.Refused(contract.ReasonTooLarge, "request body over the limit")
+		return ending.Refused(contract.ReasonTooLarge, "request body over the limit")
 	}
 	c.route = route
 	c.service = n.split.Next(route)
-	origin := n.lineage.Find(now, route.Name, in.Remaining)
-	c.inner, c.parent, c.parentID, c.level = origin.Inner, origin.Parent.Kind, origin.Parent.ID, origin.Parent.Level
-	if !c.inner {
-		c.level = levelOf(route.Rank, c.attempt)
-	}
-	n.bound(c, now, origin.Elapsed)
-	if !c.inner && !n.admits(now, c.deadline) {
-		return c, ending.Refused(contract.ReasonLeaving, "the node stops")
-	}
-	c.method = string(rc.Method())
-	c.headers = front.CopyHeadersIf(&rc.Request.Header, platform.PassesRequest)
-	c.body = append([]byte(nil), rc.Request.Body()...)
-	return c, nil
+	return nil
+}
+
+// findOrigin tells a client's request from a call of the own upstream, and sets
+// the level and the times that follow.
+func (n *Node) findOrigin(now time.Time, c *call, left time.Duration) {
+	origin := n.lineage.Find(now, c.route.Name, left)
+	c.inner = origin.Inner
+	if c.inner {
+		c.parent, c.parentID, c.level = origin.Parent.Kind, origin.Parent.ID, origin.Parent.Level
+	} else {
+		c.level = levelOf(c.route.Rank, c.attempt)
+	}
+	c.bound(now, origin.Elapsed)
 }
 
 // bound sets the times of a call whose client has waited before.
-func (n *Node) bound(c *call, now time.Time, elapsed time.Duration) {
+func (c *call) bound(now time.Time, elapsed time.Duration) {
 	if t := c.route.Timeout; t > 0 && now.Add(t).Before(c.deadline) {
 		c.deadline = now.Add(t)
 	}
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -10,6 +10,7 @@
 	"heathershed/internal/ending"
 	"heathershed/internal/fleet"
 	"heathershed/internal/hedge"
+	"heathershed/internal/wait"
 )
 
 const (
@@ -114,10 +115,8 @@
 		if ok || len(tried) > 0 || time.Now().After(until) {
 			return choice, ok
 		}
-		select {
-		case <-ctx.Done():
+		if wait.For(ctx, awaitPoll) != nil {
 			return fleet.Choice{}, false
-		case <-time.After(awaitPoll):
 		}
 	}
 }
