Upstream: an answer that comes before the body is read is not lost

An upstream that refuses a large request without reading its body, and closes or stops reading, has answered; the node threw the answer away.

Cause: the client read only after the whole request was written. The write then failed (connection reset) or blocked until the deadline, and the end was may-have-run: 502 or 504 for an order that the upstream had said was not run.

A body over 4 KiB is now sent beside the reading; smaller ones take the path of before, without another goroutine. A connection that was not sent a whole request is closed, never used again, and the sender has ended before the request is given back.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -169,21 +169,16 @@
 		_ = cn.SetDeadline(time.Time{})
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Now().Add(-minCancelWait)) })
-	err := send(cn, req.HTTP)
-	if err != nil {
-		stop()
-		return failed(ctx, cn.written, "send", err), false
-	}
-	if req.Sent != nil {
-		req.Sent()
-	}
-	err = readOwn(cn.r, req, answer)
+	step, err := converse(cn, req, answer)
 	untouched := stop()
+	if err != nil && step == stepSend {
+		return failed(ctx, cn.written, step, err), false
+	}
 	if err != nil {
 		return readFailed(ctx, cn.written, answer, err), false
 	}
 	framed := answer.Header.ContentLength() != untilClose
-	reusable := untouched && framed && !answer.ConnectionClose() && cn.r.Buffered() == 0
+	reusable := untouched && step == stepDone && framed && !answer.ConnectionClose() && cn.r.Buffered() == 0
 	cn.noteKeepAlive(answer)
 	if req.Judge != nil {
 		return req.Judge(answer), reusable
@@ -191,6 +186,47 @@
 	return judge(answer), reusable
 }
 
+// The step at which an exchange ended. One that stopped early has its answer,
+// but not all of its request was sent.
+const (
+	stepSend  = "send"
+	stepRead  = "read"
+	stepEarly = "early"
+	stepDone  = "done"
+)
+
+// converse sends the request and reads its answer. A body that may not fit the
+// buffers on the way is sent beside the reading: an upstream may answer before
+// it has read it, and then close or stop reading.
+func converse(cn *conn, req Request, answer *fasthttp.Response) (step string, err error) {
+	if len(req.HTTP.Body()) <= bufferSize {
+		if err := send(cn, req); err != nil {
+			return stepSend, err
+		}
+		if err := readOwn(cn.r, req, answer); err != nil {
+			return stepRead, err
+		}
+		return stepDone, nil
+	}
+	sent := make(chan error, 1)
+	go func() { sent <- send(cn, req) }()
+	if err := readOwn(cn.r, req, answer); err != nil {
+		_ = cn.Close() // the rest of the request is in vain
+		<-sent
+		return stepRead, err
+	}
+	select {
+	case err := <-sent:
+		if err == nil {
+			return stepDone, nil
+		}
+	default:
+		_ = cn.Close()
+		<-sent
+	}
+	return stepEarly, nil
+}
+
 // maxForeign bounds the answers to earlier requests that are skipped.
 const maxForeign = 2
 
@@ -250,12 +286,18 @@
 	return err
 }
 
-func send(cn *conn, req *fasthttp.Request) error {
+func send(cn *conn, req Request) error {
 	cn.w.Reset(cn)
-	if err := req.Write(cn.w); err != nil {
+	if err := req.HTTP.Write(cn.w); err != nil {
 		return err
 	}
-	return cn.w.Flush()
+	if err := cn.w.Flush(); err != nil {
+		return err
+	}
+	if req.Sent != nil {
+		req.Sent()
+	}
+	return nil
 }
 
 // judge decides what a whole answer means.
@@ -285,7 +327,7 @@
 }
 
 func readFailed(ctx context.Context, written int, answer *fasthttp.Response, err error) Outcome {
-	out := failed(ctx, written, "read", err)
+	out := failed(ctx, written, stepRead, err)
 	if out.Reason != contract.ReasonUpstreamFailed {
 		return out
 	}
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -167,3 +167,26 @@
 		}
 	}
 }
+
+func TestAnswerBeforeTheBodyIsReadIsNotLost(t *testing.T) {
+	const body = 8 << 20 // more than the buffers of both ends
+	refusal := "HTTP/1.1 503 B\r\nHeathershed-Verdict: not-run\r\nContent-Length: 0\r\n\r\n"
+	for name, s := range map[string]script{
+		"then closed":    {reply: refusal},
+		"then kept open": {reply: refusal, hang: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := New(serve(t, s), 4)
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			req := get(true)
+			req.HTTP.Header.SetMethod("POST")
+			req.HTTP.SetBody(make([]byte, body))
+			var answer fasthttp.Response
+			out := client.Do(ctx, req, &answer)
+			if out.Verdict != contract.NotRun || out.Reason != contract.ReasonUpstreamRefused {
+				t.Fatalf("outcome = %v %v (%s), want the upstream's refusal", out.Verdict, out.Reason, out.Detail)
+			}
+		})
+	}
+}
