Link: a connection that takes no new calls ends none before its deadline

A connection that was taken for silent, or whose link is not wanted any more (a change of membership, of the subset, of an address, a planned stop of the other end), was closed 2 minutes later with the calls still on it.

Each call has a deadline (the front sets one, and a node that passes a call on takes it over), so the wait needs no bound of its own.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -10,13 +10,8 @@
 	linkpb "heathershed/api/link"
 )
 
-const (
-	// finishTimeout bounds the wait for the calls in flight on a connection that
-	// takes no new ones; each of them has a deadline of its own.
-	finishTimeout = 2 * time.Minute
-	// finishPoll is how often such a connection is looked at.
-	finishPoll = 50 * time.Millisecond
-)
+// finishPoll is how often a connection that takes no new calls is looked at.
+const finishPoll = 50 * time.Millisecond
 
 // conn is one connection of a link: its control session and its calls.
 type conn struct {
@@ -48,13 +43,11 @@
 	_ = c.grpc.Close() // a connection that is closed already is as good
 }
 
-// drain closes the connection once its calls have ended. They end by their
-// answers, their deadlines and their callers; earlier only where ctx ends or
-// the process at the other end is known to be gone.
+// drain closes the connection once its calls have ended. Each has a deadline,
+// and they end by their answers, their deadlines and their callers; earlier only
+// where ctx ends or the process at the other end is known to be gone.
 func (c *conn) drain(ctx context.Context) {
 	defer c.close()
-	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
-	defer cancel()
 	ticker := time.NewTicker(finishPoll)
 	defer ticker.Stop()
 	for c.inFlight.Load() > 0 {
