Failing test: a lookup on a dropped link that then goes silent waits in vain

Not mended here: ending the session later would tell the fleet later that the link takes no calls; the session has to go on as a watch alone, after the handler heard of its end.

--- a/internal/sidecar/silentlink_test.go
+++ b/internal/sidecar/silentlink_test.go
@@ -82,3 +82,20 @@
 		t.Errorf("%d runs at the other upstream", ran-before)
 	}
 }
+
+func TestLookupOnADroppedLinkThatGoesSilentIsAnsweredElsewhere(t *testing.T) {
+	t.Parallel()
+	near, far, ways := farAway(t)
+	end := heldAt(near, far[0], "GET", "/far/x", time.Minute)
+	const found = 3 * time.Second
+	began := time.Now()
+	near.node.links.Want(nil) // wanted again at the next look
+	ways[0].SilenceAll()
+	got := <-end
+	if took := time.Since(began); took > found+time.Second {
+		t.Errorf("answered after %v, want the silence to be found within %v", took, found)
+	}
+	if got.status != http.StatusOK || got.seal != "seal-"+far[1].up.id {
+		t.Fatalf("%+v, want the other upstream's answer", got)
+	}
+}
