--- a/internal/link/liveness/detector.go
+++ b/internal/link/liveness/detector.go
@@ -174,7 +174,7 @@
 	return now.Sub(newest) >= d.cfg.Interval
 }
 
-// Silent reports whether the link must be given up.
+// Silent reports whether the link must be taken for silent.
 func (d *Detector) Silent(now time.Time) bool {
 	d.observe(now)
 	if d.cfg.Passive {
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -6,9 +6,10 @@
 // found silent takes no new calls and a new connection replaces it, but its
 // calls go on, since the other end may be at work on them. They end by their
 // answers, their deadlines, their callers, or by proof that the process at the
-// other end is gone: a connection that breaks, another incarnation. Every outcome of a call is a reply with a verdict; an error
-// of the transport is turned into one here, the only place that knows whether
-// the request was handed to the connection.
+// other end is gone: a connection that breaks, a higher incarnation. Every
+// outcome of a call is a reply with a verdict; an error of the transport is
+// turned into one here, the only place that knows whether the request was handed
+// to the connection.
 package link
 
 import (
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -96,7 +96,7 @@
 
 // run sends and receives until the stream ends, the other end goes silent or
 // the context ends. accept is called at the first frame received and may refuse
-// the peer; ended is called when the session carries no more. The handler hears
+// the peer; ended is called when the session has ended, its calls may go on. The handler hears
 // of the end of each session that it heard of.
 func (s *Session) run(ctx context.Context, accept func(Peer) bool, ended func()) error {
 	received := make(chan error, 1)
