A lookup that may have run at an earlier upstream is not told 'not run'

Where a first attempt may have run and the second one was on a link in doubt and was then refused, the end was that of the second one alone. The end of a suspected attempt now concludes over all attempts, as the others do.

--- a/internal/node/send.go
+++ b/internal/node/send.go
@@ -47,7 +47,7 @@
 			return reply
 		}
 		if suspected {
-			return reply
+			return s.failed.Conclude(reply)
 		}
 		s.failed.Add(reply)
 		if !n.again(ctx, c, s.number-1, reply) {
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -47,9 +47,12 @@
 		}
 		s.tried = append(s.tried, choice.VM)
 		reply, suspected := n.attempt(ctx, c, choice, s)
-		if suspected || ending.Ran(reply) {
+		if ending.Ran(reply) {
 			return reply
 		}
+		if suspected {
+			return s.failed.Conclude(reply)
+		}
 		s.last = hedge.Better(s.last, reply)
 		s.failed.Add(reply)
 		if !n.again(ctx, c, s.failed) {
