Node: restarted after its clock went back, it takes an incarnation above the earlier

An incarnation is the time of day at the start. Where the clock had gone back by more than the process before had lived, the new one's was lower, and the other nodes held on to the old record, which says LEAVING: no work for over 20 s. Now a node that is told an older start than it knows answers with the record that it knows, and the restarted one takes the next incarnation above it. TestNodeRestartedAfterItsClockWentBackTakesWork: in vain for 20 s before, now passes.

--- a/internal/sidecar/belief_test.go
+++ b/internal/sidecar/belief_test.go
@@ -23,7 +23,7 @@
 		return func(_ *world, from, at *vm) {
 			m := &linkpb.Member{
 				Vm: at.cfg.VM, Service: at.cfg.Service, Datacentre: at.cfg.Datacentre, Address: address,
-				Incarnation: at.node.incarnation, Sequence: 1000, State: state,
+				Incarnation: at.node.incarnation.Load(), Sequence: 1000, State: state,
 			}
 			if address == "" {
 				m.Address = at.cfg.Link
--- a/internal/sidecar/clock_test.go
+++ b/internal/sidecar/clock_test.go
@@ -15,7 +15,7 @@
 	const jump = 5 * time.Second // more than it had lived
 	near.node.peers.learn(&linkpb.Member{
 		Vm: far.cfg.VM, Service: "far", Datacentre: far.cfg.Datacentre, Address: far.cfg.Link, Instance: far.up.id, Slots: 4,
-		Incarnation: far.node.incarnation + uint64(jump.Microseconds()), Sequence: 9, State: linkpb.MemberState_MEMBER_STATE_LEAVING,
+		Incarnation: far.node.incarnation.Load() + uint64(jump.Microseconds()), Sequence: 9, State: linkpb.MemberState_MEMBER_STATE_LEAVING,
 	})
 	far.halt()
 	far.run()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -49,9 +49,10 @@
 
 // Node is one process. Its methods are safe for concurrent use.
 type Node struct {
-	cfg         *settings.Sidecar
-	log         *slog.Logger
-	incarnation uint64
+	cfg *settings.Sidecar
+	log *slog.Logger
+	// incarnation tells the starts of this VM's node apart; it grows.
+	incarnation atomic.Uint64
 	started     time.Time
 
 	table    atomic.Pointer[configuration]
@@ -104,22 +105,22 @@
 func New(cfg *settings.Sidecar, log *slog.Logger) *Node {
 	now := time.Now()
 	n := &Node{
-		cfg:         cfg,
-		log:         log,
-		incarnation: uint64(now.UnixMicro()),
-		started:     now,
-		fleet:       fleet.New(cfg.Datacentre),
-		gate:        door.NewGate(),
-		upstream:    upstream.New(cfg.Upstream, maxIdleConns),
-		objects:     platform.NewObjects(cfg.Platform),
-		handed:      newHanded(),
-		lineage:     lineage.New(),
-		callers:     callers.New(),
-		pressure:    pressure.New(),
-		budget:      newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
-		metrics:     newMetrics(),
-		announce:    wait.NewSignal(),
+		cfg:      cfg,
+		log:      log,
+		started:  now,
+		fleet:    fleet.New(cfg.Datacentre),
+		gate:     door.NewGate(),
+		upstream: upstream.New(cfg.Upstream, maxIdleConns),
+		objects:  platform.NewObjects(cfg.Platform),
+		handed:   newHanded(),
+		lineage:  lineage.New(),
+		callers:  callers.New(),
+		pressure: pressure.New(),
+		budget:   newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
+		metrics:  newMetrics(),
+		announce: wait.NewSignal(),
 	}
+	n.incarnation.Store(uint64(now.UnixMicro()))
 	n.grace.Store(int64(cfg.Grace))
 	n.working, n.cut = context.WithCancel(context.Background())
 	n.target = newTarget(n)
@@ -140,7 +141,7 @@
 		return err
 	}
 	n.log.Info("start", "version", version.Version, "vm", n.cfg.VM, "datacentre", n.cfg.Datacentre,
-		"service", n.cfg.Service, "incarnation", n.incarnation)
+		"service", n.cfg.Service, "incarnation", n.incarnation.Load())
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, running := errgroup.WithContext(running)
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -65,7 +65,11 @@
 
 // learnOne reports whether a node is new or has another address.
 func (p *peers) learnOne(m *linkpb.Member) (moved bool) {
-	if m.Vm == p.n.cfg.VM || m.Vm == "" || m.Address == "" {
+	if m.Vm == p.n.cfg.VM {
+		p.n.outlive(m.Incarnation)
+		return false
+	}
+	if m.Vm == "" || m.Address == "" {
 		return false
 	}
 	old, took := p.take(m)
@@ -148,7 +152,7 @@
 
 // frame returns a frame with what every frame carries.
 func (n *Node) frame() *linkpb.ControlFrame {
-	f := &linkpb.ControlFrame{Vm: n.cfg.VM, Incarnation: n.incarnation, Have: &linkpb.Have{}}
+	f := &linkpb.ControlFrame{Vm: n.cfg.VM, Incarnation: n.incarnation.Load(), Have: &linkpb.Have{}}
 	if t := n.table.Load(); t != nil {
 		f.Have.CatalogueVersion = t.Version
 	}
@@ -166,7 +170,7 @@
 		Region:      n.cfg.Region,
 		Datacentre:  n.cfg.Datacentre,
 		Address:     n.cfg.Announce,
-		Incarnation: n.incarnation,
+		Incarnation: n.incarnation.Load(),
 		Sequence:    sequence,
 		Slots:       uint32(state.Slots),
 		Instance:    state.ID,
@@ -218,9 +222,39 @@
 	n.logLinkLost(s, reason)
 }
 
+// outlive takes an incarnation above that of an earlier start, which other nodes
+// have told: the time of day may have gone back since.
+func (n *Node) outlive(earlier uint64) {
+	own := n.incarnation.Load()
+	if earlier <= own || !n.incarnation.CompareAndSwap(own, earlier+1) {
+		return
+	}
+	n.log.Info("incarnation raised", "from", own, "above", earlier)
+	n.target.mu.Lock()
+	n.target.sequence++
+	n.target.mu.Unlock()
+	n.tellAll()
+}
+
+// contradict tells a node of its record of a later start than the one it tells.
+func (p *peers) contradict(s *link.Session, told []*linkpb.Member) {
+	for _, m := range told {
+		p.mu.Lock()
+		known := p.members[m.Vm]
+		p.mu.Unlock()
+		if known == nil || known.Incarnation <= m.Incarnation {
+			continue
+		}
+		f := p.n.frame()
+		f.Members = []*linkpb.Member{known}
+		s.Send(f)
+	}
+}
+
 // News implements link.Handler.
 func (n *Node) News(s *link.Session, f *linkpb.ControlFrame) {
 	n.peers.learn(f.Members...)
+	n.peers.contradict(s, f.Members)
 	if f.Load != nil {
 		n.fleet.Heard(f.Vm, loadOf(f.Load))
 	}
