Link: one that is not wanted any more is watched until its calls have ended

A link that was dropped (another subset, another address, a record removed) ended its control stream at once and drained its calls; where the connection then went silent, nothing noticed it, and its lookups ended with 504 at their deadline though another upstream would have answered.

Now the handler hears of the end at once, and the session's heartbeats go on until the last call has ended; silence is told to the calls as on any other link.

--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -96,15 +96,15 @@
 
 // run sends and receives until the stream ends, the other end goes silent or
 // the context ends. accept is called at the first frame received and may refuse
-// the peer; ended is called when the session has ended, its calls may go on. The handler hears
-// of the end of each session that it heard of.
+// the peer; ended is called when the session has ended, its calls may go on. The
+// handler hears once of the end of each session that it heard of.
 func (s *Session) run(ctx context.Context, accept func(Peer) bool, ended func()) error {
 	received := make(chan error, 1)
 	go func() { received <- s.receive(accept) }()
 	err := s.sendLoop(ctx, received)
-	opened := s.end()
+	told := s.end()
 	ended()
-	if opened {
+	if told {
 		s.handler.Closed(s, err)
 	}
 	return err
@@ -122,12 +122,22 @@
 	return true
 }
 
-// end notes that the session is over and reports whether it was ever open.
-func (s *Session) end() (opened bool) {
+// retire ends the session for the handler, which has no use for the link any
+// more. run goes on: its heartbeats tell whether the connection goes silent.
+func (s *Session) retire(reason error) {
+	if s.end() {
+		s.handler.Closed(s, reason)
+	}
+}
+
+// end notes that the session is over and reports whether the handler must hear
+// of it: it was open, and had not ended before.
+func (s *Session) end() (told bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	told = s.opened && !s.ended
 	s.ended = true
-	return s.opened
+	return told
 }
 
 func (s *Session) sendLoop(ctx context.Context, received <-chan error) error {
--- a/internal/link/set.go
+++ b/internal/link/set.go
@@ -217,49 +217,59 @@
 	signal(l.kick)
 }
 
-// connect opens one connection and runs its session to the end. Calls that are
-// in flight then go on.
+// connect opens one connection and runs its session until it ends or the link is
+// not wanted any more. Calls that are in flight then go on.
 func (s *Set) connect(ctx context.Context, l *link) {
 	raw, err := s.open(l.target.Address)
 	if err != nil {
 		return
 	}
 	c := newConn(raw)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	running, cancel := context.WithCancel(s.ctx)
 	timeout := time.AfterFunc(openTimeout, cancel)
-	control, err := c.client.Control(ctx, grpc.WaitForReady(false))
+	stopOpening := context.AfterFunc(ctx, cancel)
+	control, err := c.client.Control(running, grpc.WaitForReady(false))
 	if err != nil {
 		timeout.Stop()
+		cancel()
 		c.close()
 		return
 	}
 	c.session = newSession(s.handler, s.traffic, control, true)
-	leave := s.pulse.enter(c.session)
-	err = c.session.run(ctx, func(p Peer) bool {
-		if !timeout.Stop() || !l.is(p) {
-			return false
+	ended := make(chan struct{})
+	s.group.Go(func() error {
+		defer close(ended)
+		defer s.pulse.enter(c.session)()
+		err := c.session.run(running, func(p Peer) bool {
+			if !timeout.Stop() || !stopOpening() || !l.is(p) {
+				return false
+			}
+			s.endOlder(p)
+			c.peer = p
+			l.set(c)
+			return true
+		}, func() { l.unset(c) })
+		if !planned(err) && running.Err() == nil {
+			c.suspect()
 		}
-		s.endOlder(p)
-		c.peer = p
-		l.set(c)
-		return true
-	}, func() { l.set(nil) })
-	leave()
-	timeout.Stop()
-	if !planned(err) && ctx.Err() == nil {
-		c.suspect()
+		return nil
+	})
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		l.unset(c)
+		c.session.retire(ctx.Err())
 	}
-	s.drain(c)
+	timeout.Stop()
+	stopOpening()
+	s.drain(c, cancel)
 }
 
 // drain closes a connection that takes no new calls once its calls have ended.
-func (s *Set) drain(c *conn) {
-	vm := c.peer.VM
-	if vm == "" { // never carried a call
-		c.close()
-		return
-	}
+// Until then its session, where it still runs, watches whether it goes silent;
+// over ends it.
+func (s *Set) drain(c *conn, over func()) {
+	vm := c.session.Peer().VM
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining[vm] == nil {
@@ -268,6 +278,7 @@
 	s.draining[vm][c] = struct{}{}
 	s.group.Go(func() error {
 		c.drain(s.ctx)
+		over()
 		s.drained(vm, c)
 		return nil
 	})
@@ -346,3 +357,12 @@
 	defer l.mu.Unlock()
 	l.conn = c
 }
+
+// unset has the connection take no new calls.
+func (l *link) unset(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == c {
+		l.conn = nil
+	}
+}
