Links and soak: the waits and signals of internal/wait, no copies of them

SilentError.Passive was read by nobody. No change of behaviour. go test -race ./internal/link/... and go test ./internal/soak: ok.

--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -11,6 +11,7 @@
 	linkpb "heathershed/api/link"
 	"heathershed/internal/link/liveness"
 	"heathershed/internal/ring"
+	"heathershed/internal/wait"
 )
 
 // outRing bounds the frames that wait to be sent on one session.
@@ -34,7 +35,7 @@
 	dialled bool
 	traffic *Traffic
 	// due and silent have one pending signal when the detector says so.
-	due, silent chan struct{}
+	due, silent wait.Signal
 
 	mu       sync.Mutex
 	detector *liveness.Detector
@@ -58,8 +59,8 @@
 		out:      ring.New[*linkpb.ControlFrame](outRing),
 		dialled:  dialled,
 		traffic:  t,
-		due:      make(chan struct{}, 1),
-		silent:   make(chan struct{}, 1),
+		due:      wait.NewSignal(),
+		silent:   wait.NewSignal(),
 		detector: liveness.New(liveness.Config{Passive: !dialled}, time.Now()),
 	}
 }
@@ -166,7 +167,7 @@
 func (s *Session) silence() *SilentError {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return &SilentError{Waiting: s.detector.Waiting(time.Now()), Passive: !s.dialled}
+	return &SilentError{Waiting: s.detector.Waiting(time.Now())}
 }
 
 // tick looks at the detector and signals what it says.
@@ -174,18 +175,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.detector.Silent(now) {
-		signal(s.silent)
+		s.silent.Send()
 	}
 	if s.detector.Due(now) {
-		signal(s.due)
-	}
-}
-
-// signal leaves one pending signal.
-func signal(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
+		s.due.Send()
 	}
 }
 
--- a/internal/link/set.go
+++ b/internal/link/set.go
@@ -12,6 +12,7 @@
 
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
+	"heathershed/internal/wait"
 )
 
 const (
@@ -56,7 +57,7 @@
 	target Target
 	stop   context.CancelFunc
 	// kick ends the wait before the next try.
-	kick chan struct{}
+	kick wait.Signal
 
 	mu   sync.RWMutex
 	conn *conn
@@ -107,7 +108,7 @@
 
 func (s *Set) start(t Target) {
 	ctx, cancel := context.WithCancel(s.ctx)
-	l := &link{target: t, stop: cancel, kick: make(chan struct{}, 1)}
+	l := &link{target: t, stop: cancel, kick: wait.NewSignal()}
 	s.links[t.VM] = l
 	s.group.Go(func() error {
 		defer cancel()
@@ -183,7 +184,7 @@
 		if time.Since(began) > maxBackoff {
 			backoff = minBackoff
 		}
-		if l.await(ctx, spread(backoff, l.target.VM, began)) {
+		if l.kick.Within(ctx, spread(backoff, l.target.VM, began)) {
 			backoff = minBackoff
 			continue
 		}
@@ -191,21 +192,6 @@
 	}
 }
 
-// await sleeps for d or until the context ends, and reports whether it was
-// ended early by a kick.
-func (l *link) await(ctx context.Context, d time.Duration) (kicked bool) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return false
-	case <-l.kick:
-		return true
-	}
-}
-
 // Kick makes the set try the link to vm again at once, where it waits to.
 func (s *Set) Kick(vm string) {
 	s.mu.RLock()
@@ -214,7 +200,7 @@
 	if l == nil {
 		return
 	}
-	signal(l.kick)
+	l.kick.Send()
 }
 
 // connect opens one connection and runs its session until it ends or the link is
--- a/internal/link/silent.go
+++ b/internal/link/silent.go
@@ -10,8 +10,6 @@
 type SilentError struct {
 	// Waiting is what had been waited for, and for how long.
 	Waiting liveness.Waiting
-	// Passive says that the end that accepted the link found it silent.
-	Passive bool
 }
 
 // Error implements error.
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"heathershed/internal/wait"
 	"heathershed/platform/platformtest"
 )
 
@@ -136,10 +137,7 @@
 		if !c.m.leftSince(time.Now().Add(-noticeTime)) {
 			pause = c.one(way, n)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(max(pause, time.Duration(c.random.Int64N(int64(thinkTime))))):
-		}
+		_ = wait.For(ctx, max(pause, time.Duration(c.random.Int64N(int64(thinkTime)))))
 	}
 }
 
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -14,6 +14,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"heathershed/internal/wait"
 	"heathershed/platform/platformtest"
 )
 
@@ -130,10 +131,7 @@
 			}
 			u.mu.Unlock()
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(beatEvery):
-		}
+		_ = wait.For(ctx, beatEvery)
 	}
 }
 
@@ -193,10 +191,8 @@
 // work takes its time and reports whether it was still wanted at the end.
 func (u *Upstream) work(r *http.Request, attempt string, takes time.Duration) (wanted bool) {
 	began := time.Now()
-	select {
-	case <-r.Context().Done():
+	if wait.For(r.Context(), takes) != nil {
 		return false
-	case <-time.After(takes):
 	}
 	u.checkLeft(attempt, began)
 	return true
