Sidecar: one way to bound a request by its deadline and the end of a stop

seeThrough and run each joined a deadline with the context that ends when a stop cuts what is left, and orders were hung below that context and joined to it once more. One function does it; an order again drops its client's cancellation alone. No change of behaviour: go test -race ./internal/sidecar ok.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -74,10 +74,8 @@
 		n.logShed(c, threshold)
 		return ending.Refused(contract.ReasonOverload, "shed at the front")
 	}
-	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	ctx, cancel := n.bounded(ctx, c.deadline)
 	defer cancel()
-	stop := context.AfterFunc(n.working, cancel)
-	defer stop()
 	n.pressure.Sent(now, c.service, c.route.Name)
 	reply := n.send(ctx, c)
 	n.pressure.Settled(time.Now(), c.service, c.route.Name)
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -83,12 +83,10 @@
 			return ending.Of(contract.MayHaveRun, contract.ReasonOrderRunning, "an order of this id was handed over already")
 		}
 		// An order that has begun is not cut off by a client that leaves.
-		ctx = n.working
+		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, cancel := n.bounded(ctx, deadline)
 	defer cancel()
-	stop := context.AfterFunc(n.working, cancel)
-	defer stop()
 	hreq, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(hreq)
 	defer fasthttp.ReleaseResponse(answer)
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -104,6 +104,16 @@
 	n.closed("metrics", n.scrapes.Close())
 }
 
+// bounded is ctx until a deadline, and until no request may go on.
+func (n *Node) bounded(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	stop := context.AfterFunc(n.working, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // closed tells of a server that was closed with connections open.
 func (n *Node) closed(server string, err error) {
 	if err != nil {
