Observability: what an upstream says of itself in its answers is logged

The record of the incident can't tell whether a named limit was never kept, heard late or forgotten: no line and no figure mentions it. The node beside the upstream now reads Server-Limit and Server-Leaving, orders what answers say by when their requests were sent, and writes each change on the line "upstream" (limit, named_ms, said_leaving); gauges upstream_limited and upstream_limit stand beside the count of requests at the upstream. Values that say nothing are logged once and change nothing.

--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -11,6 +11,7 @@
 
 	"heathershed/internal/contract"
 	"heathershed/internal/telemetry"
+	"heathershed/internal/vm/instance"
 	"heathershed/internal/wait"
 )
 
@@ -33,7 +34,7 @@
 	service       tally.Histogram
 	store         map[storeOutcome]tally.Counter
 
-	inFlight, waiting, slots, threshold, version, upstreams tally.Gauge
+	inFlight, waiting, slots, threshold, version, upstreams, limited, limit tally.Gauge
 }
 
 // storeOutcome identifies a counter of calls to the object API: the call, and
@@ -58,6 +59,8 @@
 		threshold:     scope.Gauge("door_threshold"),
 		version:       scope.Gauge("configuration_version"),
 		upstreams:     scope.Gauge("upstreams_usable"),
+		limited:       scope.Gauge("upstream_limited"),
+		limit:         scope.Gauge("upstream_limit"),
 	}
 	for r := range m.rejected {
 		m.rejected[r] = scope.Tagged(map[string]string{"reason": contract.Reason(r).String()}).Counter("door_refused")
@@ -79,6 +82,16 @@
 	m.service.RecordDuration(service)
 }
 
+// updateNotice sets the gauges of what the local upstream says of itself.
+func (m *metrics) updateNotice(notice instance.Notice) {
+	limited := 0.0
+	if notice.Limited {
+		limited = 1
+	}
+	m.limited.Update(limited)
+	m.limit.Update(notice.Limit)
+}
+
 // countRejected counts a request that the scheduler rejected.
 func (m *metrics) countRejected(r contract.Reason) { m.rejected[r].Inc(1) }
 
@@ -110,6 +123,7 @@
 		}
 		_, usable := n.fleet.Counts()
 		n.metrics.upstreams.Update(float64(usable))
+		n.metrics.updateNotice(n.target.state().Notice)
 	}
 	return nil
 }
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -99,6 +99,7 @@
 	n.buildRequest(hreq, req, state, left)
 	number := n.correlation.Begin(correlation.Parent{ID: req.AttemptId, Kind: req.Kind, Level: contract.Level(req.Level), Deadline: time.Now().Add(left)})
 	defer n.correlation.End(number)
+	sent := time.Now()
 	out := n.upstream.Do(ctx, upstream.Request{
 		HTTP:            hreq,
 		Order:           !req.Idempotent,
@@ -108,6 +109,7 @@
 		AllowUntilClose: true,
 	}, answer)
 	n.observeOutcome(state, out, answer)
+	n.observeNotice(state.ID, sent, out, answer)
 	if out.Verdict == contract.NotRun && !req.Idempotent {
 		n.dedup.remove(req.AttemptId)
 	}
@@ -148,6 +150,20 @@
 	}
 }
 
+// observeNotice records what a complete answer of an instance, to a request that
+// was sent at sent, says about the instance.
+func (n *Node) observeNotice(id string, sent time.Time, out upstream.Outcome, answer *fasthttp.Response) {
+	if out.Reason != contract.ReasonNone && out.Reason != contract.ReasonUpstreamRefused {
+		return
+	}
+	notice, err := platform.ReadNotice(answer)
+	if err != nil {
+		n.target.logInvalidNotice(id, err)
+	}
+	a := instance.Answer{Notice: notice.Notice, Instance: id, Sent: sent, KeepLimit: notice.KeepLimit}
+	n.target.update("answer", func(tr *instance.Tracker) instance.Change { return tr.HandleAnswer(time.Now(), a) })
+}
+
 // load returns the load report that each reply carries. ChainLevel is the
 // highest of the local threshold and the thresholds of the nested calls that
 // requests of this kind make.
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	tracker *instance.Tracker
 	// sequence grows with each change that is sent to other nodes.
 	sequence uint64
+	// invalidNotice is the last error of a notice that was logged.
+	invalidNotice string
 }
 
 func newTarget(n *Node) *target {
@@ -51,6 +54,7 @@
 	t.applyMu.Lock()
 	defer t.applyMu.Unlock()
 	t.mu.Lock()
+	old := t.tracker.State()
 	change := apply(t.tracker)
 	state := t.tracker.State()
 	if change != instance.Same && change != instance.Ignored {
@@ -61,13 +65,43 @@
 		return
 	}
 	t.n.log.Info("upstream", "by", source, "change", change.String(), "instance", state.ID,
-		"service", state.Service, "slots", state.Slots, "ready", state.Ready)
-	if change == instance.Ignored {
+		"service", state.Service, "slots", state.Slots, "ready", state.Ready,
+		"limit", limitText(state.Notice), "named_ms", age(old.LimitAt).Milliseconds(), "said_leaving", state.Notice.Leaving)
+	if change == instance.Ignored || change == instance.Limited {
 		return
 	}
 	t.propagate(state, change)
 }
 
+// limitText returns the limit in requests a second, as it is logged, or the
+// empty string if there is none.
+func limitText(n instance.Notice) string {
+	if !n.Limited {
+		return ""
+	}
+	return strconv.FormatFloat(n.Limit, 'g', -1, 64)
+}
+
+// age returns the time since t, or 0 if t is zero.
+func age(t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return time.Since(t)
+}
+
+// logInvalidNotice logs that an answer of an instance says something about it
+// that can't be read. Repetitions are not logged.
+func (t *target) logInvalidNotice(id string, err error) {
+	t.mu.Lock()
+	repeated := t.invalidNotice == err.Error()
+	t.invalidNotice = err.Error()
+	t.mu.Unlock()
+	if !repeated {
+		t.n.log.Warn("notice refused", "instance", id, "err", err)
+	}
+}
+
 // propagate opens or closes the scheduler for the new state, updates the
 // fleet, and notifies the other nodes and the task that writes the record.
 func (t *target) propagate(state instance.State, change instance.Change) {
--- a/internal/vm/instance/instance.go
+++ b/internal/vm/instance/instance.go
@@ -37,6 +37,12 @@
 	Ready bool
 	// WarmUntil is when it is expected to run at full speed.
 	WarmUntil time.Time
+	// Notice is what it says of itself in its answers, LimitAt when its limit
+	// was last named or found to have ended. Heard says that this process has
+	// read an answer of it.
+	Notice  Notice
+	LimitAt time.Time
+	Heard   bool
 	// seq is that of the newest heartbeat.
 	seq uint64
 	// leaving says that it drains or has deregistered.
@@ -61,9 +67,12 @@
 	Leaving
 	// Lost: the current instance can't be reached or has been replaced.
 	Lost
+	// Limited: the current instance names a limit, another one, or none any
+	// more.
+	Limited
 )
 
-var changeNames = [...]string{"ignored", "same", "started", "returned", "leaving", "lost"}
+var changeNames = [...]string{"ignored", "same", "started", "returned", "leaving", "lost", "limited"}
 
 // String returns the name of the change as it is logged.
 func (c Change) String() string { return changeNames[c] }
--- /dev/null
+++ b/internal/vm/instance/notice.go
@@ -0,0 +1,66 @@
+package instance
+
+import "time"
+
+// MaxLimit bounds the limits that are kept, in requests a second. A higher one
+// binds nobody.
+const MaxLimit = 1e6
+
+// Notice is what an instance says of itself in its answers. The zero Notice
+// says nothing.
+type Notice struct {
+	// Limited says that the instance names a limit: it takes Limit requests a
+	// second from all callers together, from 0 to MaxLimit.
+	Limited bool
+	Limit   float64
+	// Leaving says that the instance takes no new requests for the rest of its
+	// life.
+	Leaving bool
+}
+
+// Answer is what one answer of an instance says.
+type Answer struct {
+	Notice
+	// Instance gave the answer to a request that was sent at Sent.
+	Instance string
+	Sent     time.Time
+	// KeepLimit says that the answer leaves the limit as it is.
+	KeepLimit bool
+}
+
+// stricter reports whether n allows fewer requests than other.
+func (n Notice) stricter(other Notice) bool {
+	return n.Limited && (!other.Limited || n.Limit < other.Limit)
+}
+
+// HandleAnswer applies what an answer says, which is read at now. Leaving is
+// for good. A limit lasts until an answer names another one or none.
+//
+// Answers overtake each other. An answer with a lower limit always applies. One
+// with a higher limit, or none, applies only if its request was sent after the
+// present limit was last named: it can't be older than that then.
+func (t *Tracker) HandleAnswer(now time.Time, a Answer) Change {
+	if a.Instance == "" || a.Instance != t.state.ID {
+		return Same
+	}
+	t.state.Heard = true
+	changed := !a.KeepLimit && t.state.hearLimit(now, a)
+	if a.Leaving && !t.state.Notice.Leaving {
+		t.state.Notice.Leaving = true
+		return Leaving
+	}
+	if changed {
+		return Limited
+	}
+	return Same
+}
+
+// hearLimit applies the limit of an answer and reports whether it changed.
+func (s *State) hearLimit(now time.Time, a Answer) (changed bool) {
+	if s.Notice.stricter(a.Notice) && !a.Sent.After(s.LimitAt) {
+		return false
+	}
+	changed = a.Limited != s.Notice.Limited || a.Limit != s.Notice.Limit
+	s.Notice.Limited, s.Notice.Limit, s.LimitAt = a.Limited, a.Limit, now
+	return changed
+}
--- /dev/null
+++ b/internal/vm/instance/notice_test.go
@@ -0,0 +1,57 @@
+package instance
+
+import (
+	"testing"
+	"time"
+)
+
+// TestLimitFollowsTheNewestAnswer lets answers overtake each other: an answer
+// that may be older than the limit in force never loosens it.
+func TestLimitFollowsTheNewestAnswer(t *testing.T) {
+	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	limit := func(limit float64) Notice { return Notice{Limited: true, Limit: limit} }
+	none := Notice{}
+	type answer struct {
+		sent, read int // ms
+		says       Notice
+		keep       bool
+		id         string
+		want       Notice
+	}
+	cases := []struct {
+		name    string
+		answers []answer
+	}{
+		{"named, then ended", []answer{{0, 10, limit(8), false, "a", limit(8)}, {20, 30, none, false, "a", none}}},
+		{"slow answer from before the limit", []answer{{5, 10, limit(8), false, "a", limit(8)}, {0, 30, none, false, "a", limit(8)}}},
+		{"lowered", []answer{{0, 10, limit(8), false, "a", limit(8)}, {5, 20, limit(3), false, "a", limit(3)}}},
+		{"raised", []answer{{0, 10, limit(3), false, "a", limit(3)}, {11, 20, limit(8), false, "a", limit(8)}}},
+		{"higher limit crosses a lower one", []answer{{2, 10, limit(3), false, "a", limit(3)}, {1, 20, limit(8), false, "a", limit(3)}}},
+		{"lower limit crosses the end", []answer{{0, 5, limit(3), false, "a", limit(3)}, {6, 20, none, false, "a", none}, {4, 30, limit(3), false, "a", limit(3)}, {31, 40, none, false, "a", none}}},
+		{"unreadable", []answer{{0, 10, limit(8), false, "a", limit(8)}, {20, 30, none, true, "a", limit(8)}}},
+		{"zero", []answer{{0, 10, limit(0), false, "a", limit(0)}, {20, 30, none, false, "a", none}}},
+		{"another instance", []answer{{0, 10, limit(8), false, "x", none}}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			tr := NewTracker(address)
+			tr.HandleHeartbeat(at(0), heartbeat("a", 1))
+			for i, a := range tc.answers {
+				tr.HandleAnswer(at(a.read), Answer{Notice: a.says, Instance: a.id, Sent: at(a.sent), KeepLimit: a.keep})
+				if got := tr.State().Notice; got != a.want {
+					t.Fatalf("after answer %d: got %+v, want %+v", i, got, a.want)
+				}
+			}
+		})
+	}
+}
+
+func TestNewInstanceStartsWithoutNotice(t *testing.T) {
+	tr := NewTracker(address)
+	tr.HandleHeartbeat(time.Unix(0, 0), heartbeat("a", 1))
+	tr.HandleAnswer(time.Unix(1, 0), Answer{Instance: "a", Notice: Notice{Limited: true, Limit: 2, Leaving: true}})
+	tr.HandleHeartbeat(time.Unix(2, 0), heartbeat("b", 1))
+	if got := tr.State(); got.Notice != (Notice{}) || !got.Ready {
+		t.Fatalf("got %+v, want a ready instance that has said nothing", got)
+	}
+}
