A limit that an upstream names is kept by the node beside it

Cause: Server-Limit was passed on like any header that a node does not know; neither the choice of an upstream nor its queue nor the refusals heard of it.

All requests reach an upstream through the node beside it, so a rate kept there holds for the sum over all machines, without shares or messages.

A limit is a lack like slots, and what answers a lack of slots knows it: the wait for it counts in the expected wait, in Retry-After, in the choice of an upstream and in the threshold that rides back to the ingress. Where another upstream names none, a request is not kept waiting for a limit, it goes there at once; each node then tries the limited one less often, so that all together come near the limit. Where all name one, requests wait by rank. Of all this nothing is left when the limit ends.

--- a/internal/contract/retry/attempt.go
+++ b/internal/contract/retry/attempt.go
@@ -65,6 +65,7 @@
 	contract.ReasonPartialAnswer:   retryFailover,
 	contract.ReasonStaleTarget:     retryFailover,
 	contract.ReasonUpstreamSilent:  retryFailover,
+	contract.ReasonUpstreamLimit:   retryFailover,
 }
 
 // ShouldRetry decides whether a failed attempt is followed by another one, and
--- a/internal/contract/verdict.go
+++ b/internal/contract/verdict.go
@@ -102,6 +102,9 @@
 	// ReasonUpstreamSilent: the upstream is unresponsive: it accepts requests and
 	// answers none.
 	ReasonUpstreamSilent
+	// ReasonUpstreamLimit: the upstream names a limit of requests a second, and
+	// the request can't be sent within it in time.
+	ReasonUpstreamLimit
 
 	// NumReasons is the number of reasons, for arrays indexed by Reason.
 	NumReasons = iota
@@ -113,7 +116,7 @@
 	"link-lost", "upstream-refused", "upstream-failed", "partial-answer",
 	"cancelled", "retry-budget", "parent-ended", "order-running",
 	"order-unknown", "order-expired", "order-home", "stale-target", "ring-full",
-	"upstream-silent",
+	"upstream-silent", "upstream-limit",
 }
 
 // String returns the value of the Heathershed-Reason header, or "unknown".
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -42,11 +42,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	meanLatency := f.meanLatency(q)
+	unlimited := f.hasUnlimited(q)
 	random := q.Random
 	var best *entry
 	var lowest float64
 	for _, e := range f.byService[q.Service] {
-		if !e.usable() || slices.Contains(q.Exclude, e.VM) {
+		if !e.isCandidate(q) || unlimited && e.passedOver(now, q) {
 			continue
 		}
 		random = nextRandom(random)
@@ -63,7 +64,22 @@
 	}
 	best.outstanding++
 	best.sent++
-	return Choice{Upstream: best.Upstream, e: best}, true
+	return Choice{
+		Upstream: best.Upstream,
+		Notice:   best.notice,
+		NoWait:   unlimited && best.heard().Limited,
+		e:        best,
+	}, true
+}
+
+// isCandidate reports whether a request may be sent to the upstream.
+func (e *entry) isCandidate(q Query) bool { return e.usable() && !slices.Contains(q.Exclude, e.VM) }
+
+// hasUnlimited reports whether some candidate names no limit.
+func (f *Fleet) hasUnlimited(q Query) bool {
+	return slices.ContainsFunc(f.byService[q.Service], func(e *entry) bool {
+		return e.isCandidate(q) && !e.heard().Limited
+	})
 }
 
 // meanLatency returns the mean latency of the request kind over the upstreams
@@ -83,8 +99,8 @@
 	return sum / time.Duration(known)
 }
 
-// cost returns the expected latency in seconds, multiplied by the factors that
-// apply to the upstream. mean stands in for an unknown latency.
+// cost returns the expected latency in seconds, with the wait for the limit that
+// the upstream names, multiplied by the factors that apply to the upstream. mean stands in for an unknown latency.
 func (f *Fleet) cost(now time.Time, e *entry, kind string, mean time.Duration) float64 {
 	latency := e.latency[kind]
 	if latency == 0 {
@@ -92,7 +108,7 @@
 	}
 	busy := max(e.outstanding, e.load.InFlight+e.load.Waiting+e.sent)
 	use := float64(busy+1) / float64(max(e.Slots, 1))
-	cost := latency.Seconds() * (1 + loadFactor*use*use)
+	cost := (latency + e.paceWait(now)).Seconds() * (1 + loadFactor*use*use)
 	cost *= 1 + failureFactor*e.failures.rate(now)
 	if e.Datacentre != f.datacentre {
 		cost *= remoteFactor
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"heathershed/internal/contract"
+	"heathershed/internal/vm/instance"
 )
 
 // Upstream is an upstream as announced by the node beside it.
@@ -37,6 +38,11 @@
 	Draining bool
 	// Cold reports that the upstream is still warming up.
 	Cold bool
+	// PacedUntil is when the limit that the upstream names has room for another
+	// request; zero if it has room now.
+	PacedUntil time.Time
+	// Notice is what the node beside the upstream has heard of the instance.
+	Notice instance.Report
 }
 
 // Query asks for the upstream of one attempt.
@@ -44,6 +50,8 @@
 	Service, Kind string
 	// Exclude lists the VMs that were tried already.
 	Exclude []string
+	// AvoidLimited excludes upstreams that name a limit where others don't.
+	AvoidLimited bool
 	// Random seeds the random part of the costs.
 	Random uint64
 }
@@ -51,7 +59,12 @@
 // Choice is a chosen upstream. Each Choice must be passed to Done exactly once.
 type Choice struct {
 	Upstream
-	e *entry
+	// Notice is what this node has heard of the instance.
+	Notice instance.Report
+	// NoWait says that the upstream names a limit and another one does not: the
+	// request is better sent there than kept waiting.
+	NoWait bool
+	e      *entry
 }
 
 // Result is the outcome of an attempt.
@@ -78,6 +91,9 @@
 	rejectedAt time.Time
 	latency    map[string]time.Duration
 	failures   failureRate
+	// notice is the newest one of the VM, also if Instance is not known.
+	notice  instance.Report
+	backoff limitBackoff
 }
 
 // Fleet holds the upstreams that a node knows. It is safe for concurrent use.
@@ -100,7 +116,8 @@
 }
 
 // Put adds or updates an upstream as announced by its node. The state of
-// another instance or service at the same VM is discarded, except for the link.
+// another instance or service at the same VM is discarded, except for the link
+// and the notice: a node that has just started does not know its instance yet.
 func (f *Fleet) Put(u Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -108,7 +125,7 @@
 	if e == nil || e.Instance != u.Instance || e.Service != u.Service {
 		fresh := &entry{latency: make(map[string]time.Duration)}
 		if e != nil {
-			fresh.linked = e.linked
+			fresh.linked, fresh.notice = e.linked, e.notice
 		}
 		f.remove(u.VM)
 		e = fresh
@@ -160,6 +177,7 @@
 
 // setLoad replaces the load by a newer one.
 func (e *entry) setLoad(load Load) {
+	e.hear(load.Notice)
 	e.load = load
 	e.sent = 0
 	if load.Slots > 0 {
@@ -182,6 +200,7 @@
 	} else {
 		e.sent = max(e.sent-1, 0)
 	}
+	e.backoff.observe(now, r.Reason == contract.ReasonUpstreamLimit)
 	switch {
 	case r.Verdict == contract.NotRun:
 		e.rejectedAt = now
--- /dev/null
+++ b/internal/fleet/notice.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"time"
+
+	"heathershed/internal/vm/instance"
+)
+
+const (
+	// minLimitBackoff and maxLimitBackoff bound how long an upstream that names
+	// a limit is passed over after it had no room within it.
+	minLimitBackoff = 50 * time.Millisecond
+	maxLimitBackoff = 8 * time.Second
+)
+
+// limitBackoff spaces the attempts of one node at an upstream that names a
+// limit, so that those of all nodes together come near the limit. The zero value
+// is without a wait.
+type limitBackoff struct {
+	wait  time.Duration
+	until time.Time
+}
+
+// observe records an attempt: the wait doubles with each one that found no room
+// and is halved with each other one.
+func (b *limitBackoff) observe(now time.Time, noRoom bool) {
+	if !noRoom {
+		b.wait, b.until = b.wait/2, now
+		return
+	}
+	b.wait = min(max(2*b.wait, minLimitBackoff), maxLimitBackoff)
+	spread := 0.5 + unitFloat(nextRandom(uint64(now.UnixNano())))
+	b.until = now.Add(time.Duration(spread * float64(b.wait)))
+}
+
+// hear records a notice. Notices of one VM arrive over several paths, so an
+// older one may arrive last. An instance that has said that it leaves has said
+// it for good.
+func (e *entry) hear(r instance.Report) {
+	if r.Version == 0 || r.Version < e.notice.Version {
+		return
+	}
+	leaving := r.Instance == e.notice.Instance && e.notice.Leaving
+	e.notice = r
+	e.notice.Leaving = r.Leaving || leaving
+}
+
+// heard returns what the current instance has said of itself.
+func (e *entry) heard() instance.Notice {
+	if e.notice.Instance != e.Instance {
+		return instance.Notice{}
+	}
+	return e.notice.Notice
+}
+
+// passedOver reports whether an upstream that names a limit is passed over
+// because others name none.
+func (e *entry) passedOver(now time.Time, q Query) bool {
+	return e.heard().Limited && (q.AvoidLimited || now.Before(e.backoff.until))
+}
+
+// paceWait is how long a request would wait for the limit of the upstream: what
+// was reported last, and the requests sent since.
+func (e *entry) paceWait(now time.Time) time.Duration {
+	limit := e.heard().Limit
+	if !e.heard().Limited {
+		return 0
+	}
+	wait := e.load.PacedUntil.Sub(now)
+	if limit > 0 {
+		wait += time.Duration(float64(e.sent) / limit * float64(time.Second))
+	}
+	return max(wait, 0)
+}
--- /dev/null
+++ b/internal/sidecar/notice.go
@@ -0,0 +1,96 @@
+package sidecar
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	linkpb "heathershed/api/link"
+	"heathershed/internal/contract"
+	"heathershed/internal/upstream"
+	"heathershed/internal/vm/instance"
+	"heathershed/platform"
+)
+
+// The node beside an upstream owns what the upstream says of itself in its
+// answers: it keeps the limit. Other nodes hear of it in replies and heartbeats.
+
+// observeNotice records what a complete answer of an instance, to a request that
+// was sent at sent, says about the instance.
+func (n *Node) observeNotice(id string, sent time.Time, out upstream.Outcome, answer *fasthttp.Response) {
+	if out.Reason != contract.ReasonNone && out.Reason != contract.ReasonUpstreamRefused {
+		return
+	}
+	notice, err := platform.ReadNotice(answer)
+	if err != nil {
+		n.target.logInvalidNotice(id, err)
+	}
+	a := instance.Answer{Notice: notice.Notice, Instance: id, Sent: sent, KeepLimit: notice.KeepLimit}
+	n.target.update("answer", func(tr *instance.Tracker) instance.Change { return tr.HandleAnswer(time.Now(), a) })
+}
+
+// report returns what is known of the current instance, or the zero value if
+// none is known.
+func (t *target) report() instance.Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state := t.tracker.State()
+	r := instance.Report{Notice: state.Notice, Instance: state.ID}
+	if state.Heard {
+		r.Version = t.n.incarnation.Load() + t.notices
+	}
+	return r
+}
+
+// noticeMessage returns a report as links carry it, or nil if no instance is
+// known.
+func noticeMessage(r instance.Report) *linkpb.UpstreamNotice {
+	if r.Instance == "" {
+		return nil
+	}
+	return &linkpb.UpstreamNotice{Instance: r.Instance, Version: r.Version, Limited: r.Limited, Limit: r.Limit, Leaving: r.Leaving}
+}
+
+// reportOf returns the report in a message, which may be nil. Limits out of
+// range are those of another version and count as none.
+func reportOf(m *linkpb.UpstreamNotice) instance.Report {
+	if m == nil {
+		return instance.Report{}
+	}
+	r := instance.Report{Instance: m.Instance, Version: m.Version}
+	r.Leaving = m.Leaving
+	if m.Limited && m.Limit >= 0 && m.Limit <= instance.MaxLimit {
+		r.Limited, r.Limit = true, m.Limit
+	}
+	return r
+}
+
+// limitText returns the limit in requests a second, as it is logged, or the
+// empty string if there is none.
+func limitText(n instance.Notice) string {
+	if !n.Limited {
+		return ""
+	}
+	return strconv.FormatFloat(n.Limit, 'g', -1, 64)
+}
+
+// age returns the time since t, or 0 if t is zero.
+func age(t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return time.Since(t)
+}
+
+// logInvalidNotice logs that an answer of an instance says something about it
+// that can't be read. Repetitions are not logged.
+func (t *target) logInvalidNotice(id string, err error) {
+	t.mu.Lock()
+	repeated := t.invalidNotice == err.Error()
+	t.invalidNotice = err.Error()
+	t.mu.Unlock()
+	if !repeated {
+		t.n.log.Warn("notice refused", "instance", id, "err", err)
+	}
+}
--- a/internal/sidecar/notice_test.go
+++ b/internal/sidecar/notice_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -208,3 +209,77 @@
 	tc.waitFor("ready again", far[0].ready)
 	ask("after a restart of its node")
 }
+
+// prioritizedConfig has lookups of the least urgent class and orders of the most
+// urgent one at the service "far".
+func prioritizedConfig(version int) string {
+	route := func(name, kind string, priority int) string {
+		return fmt.Sprintf(`{"resourceKind":"routes","metadata":{"name":%q},"spec":{"host":"h","pathPrefix":"/%s/","routeType":%q,"timeout":"8s","sloLatency":"1500ms","priority":%d,"service":"far","maxAttempts":2}}`,
+			name, name, kind, priority)
+	}
+	return fmt.Sprintf(`{"version":%d,"resources":[%s,%s]}`, version, route("far", "idempotent", 2), route("far-order", "non_idempotent", 0))
+}
+
+func TestOrdersComeFirstWhereAllUpstreamsNameLimits(t *testing.T) {
+	t.Parallel()
+	const limit, length = 20.0, 6 * time.Second // 40 requests a second in all
+	tc, near, far := startTrio(t)
+	tc.writeConfig(prioritizedConfig(2))
+	tc.waitFor("the configuration is active", func() bool { return near.node.table.Load().Version == 2 })
+	talkers := []*talker{newTalker(far[0].up), newTalker(far[1].up)}
+	for _, k := range talkers {
+		k.slow(20 * time.Millisecond)
+		k.say(platformtest.HeaderLimit, "20")
+	}
+	keepAsking("/far/1", 2*time.Second, near) // the limits become known
+	began := time.Now()
+	lookups := make(chan [2]int, 1)
+	go func() {
+		served, refused := keepAsking("/far/1", length, near)
+		lookups <- [2]int{served, refused}
+	}()
+	orders, failed := 0, 0
+	for time.Since(began) < length {
+		if a := near.request("POST", "/far-order/1", []byte("order")); a.status == http.StatusOK {
+			orders++
+		} else {
+			failed++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	got := <-lookups
+	if failed > orders/20 {
+		t.Errorf("%d of %d orders were not served, want at most a twentieth: the limits allow twice as many", failed, orders+failed)
+	}
+	if used := float64(orders+got[0]) / length.Seconds(); used < 0.8*2*limit {
+		t.Errorf("%.0f requests a second served, want at least 0.8 of the limits", used)
+	}
+	if got[1] == 0 {
+		t.Error("no lookup was refused, so the limits were not under pressure")
+	}
+	t.Logf("orders %d served, %d not; lookups %d served, %d refused", orders, failed, got[0], got[1])
+}
+
+func TestFullRateReturnsWhenLimitsEnd(t *testing.T) {
+	t.Parallel()
+	_, near, far := startTrio(t)
+	talkers := []*talker{newTalker(far[0].up), newTalker(far[1].up)}
+	for _, k := range talkers {
+		k.say(platformtest.HeaderLimit, "2")
+	}
+	keepAsking("/far/1", time.Second, near, far[0])
+	if served, _ := keepAsking("/far/1", 3*time.Second, near, far[0]); served > 24 {
+		t.Fatalf("%d requests served in 3 s, want at most 24 under limits of 2 a second each", served)
+	}
+	for _, k := range talkers {
+		k.say(platformtest.HeaderLimit, "")
+	}
+	ended := time.Now()
+	keepAsking("/far/1", 1500*time.Millisecond, near, far[0]) // 2 a second: known after half a second
+	const second = time.Second
+	for i, k := range talkers {
+		if got := k.between(ended.Add(second), ended.Add(second+500*time.Millisecond)); got < 50 {
+			t.Errorf("upstream %d got %d requests in half a second, 1 s after its limit had ended, want at least 50", i, got)
+		}
+	}
+}
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -33,6 +33,8 @@
 	tried  []string
 	failed outcome.Attempts
 	last   *linkpb.CallReply
+	// limited says that an upstream had no room within the limit that it names.
+	limited bool
 }
 
 // send offers a call to nodes with an upstream of its service until one runs
@@ -46,7 +48,7 @@
 // made before.
 func (n *Node) sendAttempts(ctx context.Context, c *call, s *sendState) *linkpb.CallReply {
 	for len(s.tried) < maxNodesTried {
-		choice, ok := n.choose(ctx, c, s.tried)
+		choice, ok := n.choose(ctx, c, s)
 		if !ok {
 			break
 		}
@@ -60,6 +62,7 @@
 		}
 		s.last = hedge.MoreInformative(s.last, reply)
 		s.failed.Add(reply)
+		s.limited = s.limited || contract.Reason(reply.Reason) == contract.ReasonUpstreamLimit
 		if !n.mayRetry(ctx, c, s.failed) {
 			break
 		}
@@ -114,16 +117,17 @@
 // choose picks an upstream. If none is known yet, it polls for up to
 // maxUpstreamWait, or the remaining time divided by upstreamWaitDivisor if
 // that is less, since links open within that time after a start.
-func (n *Node) choose(ctx context.Context, c *call, tried []string) (fleet.Choice, bool) {
+func (n *Node) choose(ctx context.Context, c *call, s *sendState) (fleet.Choice, bool) {
 	until := time.Now().Add(min(maxUpstreamWait, time.Until(c.deadline)/upstreamWaitDivisor))
 	for {
 		choice, ok := n.fleet.Pick(time.Now(), fleet.Query{
-			Service: c.service,
-			Kind:    c.route.Name,
-			Exclude: tried,
-			Random:  rand.Uint64(),
+			Service:      c.service,
+			Kind:         c.route.Name,
+			Exclude:      s.tried,
+			AvoidLimited: s.limited,
+			Random:       rand.Uint64(),
 		})
-		if ok || len(tried) > 0 || time.Now().After(until) {
+		if ok || len(s.tried) > 0 || time.Now().After(until) {
 			return choice, ok
 		}
 		if wait.For(ctx, upstreamPoll) != nil {
@@ -180,6 +184,7 @@
 		Inner:       c.inner,
 		Level:       uint32(c.level),
 		Idempotent:  c.route.Idempotent,
+		NoWait:      choice.NoWait,
 	}
 	if !c.objectiveAt.IsZero() {
 		req.ObjectiveUs = max(c.objectiveAt.Sub(now).Microseconds(), 1)
@@ -208,5 +213,8 @@
 		Latency:  time.Duration(l.LatencyUs) * time.Microsecond,
 		Draining: l.Leaving,
 		Cold:     l.Cold,
+
+		PacedUntil: time.Now().Add(time.Duration(l.PaceWaitUs) * time.Microsecond),
+		Notice:     reportOf(l.Notice),
 	}
 }
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -66,7 +67,7 @@
 func schedulerRequest(req *linkpb.CallRequest, now, deadline time.Time) scheduler.Request {
 	const ranksPerClass = 2
 	class := int(contract.Level(req.Level).Class())
-	r := scheduler.Request{Kind: req.Kind, Rank: ranksPerClass * (contract.NumClasses - class), Deadline: deadline, Idempotent: req.Idempotent}
+	r := scheduler.Request{Kind: req.Kind, Rank: ranksPerClass * (contract.NumClasses - class), Deadline: deadline, Idempotent: req.Idempotent, NoWait: req.NoWait}
 	if req.Inner {
 		r.Rank--
 	}
@@ -150,20 +151,6 @@
 	}
 }
 
-// observeNotice records what a complete answer of an instance, to a request that
-// was sent at sent, says about the instance.
-func (n *Node) observeNotice(id string, sent time.Time, out upstream.Outcome, answer *fasthttp.Response) {
-	if out.Reason != contract.ReasonNone && out.Reason != contract.ReasonUpstreamRefused {
-		return
-	}
-	notice, err := platform.ReadNotice(answer)
-	if err != nil {
-		n.target.logInvalidNotice(id, err)
-	}
-	a := instance.Answer{Notice: notice.Notice, Instance: id, Sent: sent, KeepLimit: notice.KeepLimit}
-	n.target.update("answer", func(tr *instance.Tracker) instance.Change { return tr.HandleAnswer(time.Now(), a) })
-}
-
 // load returns the load report that each reply carries. ChainLevel is the
 // highest of the local threshold and the thresholds of the nested calls that
 // requests of this kind make.
@@ -178,5 +165,7 @@
 		Cold:       l.Cold,
 		Level:      uint32(l.Threshold),
 		ChainLevel: uint32(max(l.Threshold, n.pressure.ChainThreshold(time.Now(), kind))),
+		PaceWaitUs: uint32(min(l.PaceWait.Microseconds(), math.MaxUint32)),
+		Notice:     noticeMessage(n.target.report()),
 	}
 }
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"strconv"
 	"sync"
 	"time"
 
@@ -23,6 +22,8 @@
 	tracker *instance.Tracker
 	// sequence grows with each change that is sent to other nodes.
 	sequence uint64
+	// notices counts the changes of what the upstream has said of itself.
+	notices uint64
 	// invalidNotice is the last error of a notice that was logged.
 	invalidNotice string
 }
@@ -57,9 +58,12 @@
 	old := t.tracker.State()
 	change := apply(t.tracker)
 	state := t.tracker.State()
-	if change != instance.Same && change != instance.Ignored {
+	if change != instance.Same && change != instance.Ignored && change != instance.Limited {
 		t.sequence++
 	}
+	if state.Notice != old.Notice {
+		t.notices++
+	}
 	t.mu.Unlock()
 	if change == instance.Same {
 		return
@@ -67,44 +71,28 @@
 	t.n.log.Info("upstream", "by", source, "change", change.String(), "instance", state.ID,
 		"service", state.Service, "slots", state.Slots, "ready", state.Ready,
 		"limit", limitText(state.Notice), "named_ms", age(old.LimitAt).Milliseconds(), "said_leaving", state.Notice.Leaving)
-	if change == instance.Ignored || change == instance.Limited {
-		return
-	}
-	t.propagate(state, change)
-}
-
-// limitText returns the limit in requests a second, as it is logged, or the
-// empty string if there is none.
-func limitText(n instance.Notice) string {
-	if !n.Limited {
-		return ""
+	switch change {
+	case instance.Ignored:
+	case instance.Limited:
+		t.propagateLimit(old.Notice, state.Notice)
+	default:
+		t.propagate(state, change)
 	}
-	return strconv.FormatFloat(n.Limit, 'g', -1, 64)
 }
 
-// age returns the time since t, or 0 if t is zero.
-func age(t time.Time) time.Duration {
-	if t.IsZero() {
-		return 0
-	}
-	return time.Since(t)
-}
-
-// logInvalidNotice logs that an answer of an instance says something about it
-// that can't be read. Repetitions are not logged.
-func (t *target) logInvalidNotice(id string, err error) {
-	t.mu.Lock()
-	repeated := t.invalidNotice == err.Error()
-	t.invalidNotice = err.Error()
-	t.mu.Unlock()
-	if !repeated {
-		t.n.log.Warn("notice refused", "instance", id, "err", err)
+// propagateLimit puts the limit of the upstream in force. Its begin and its end
+// are announced to the other nodes; they hear of another value in replies.
+func (t *target) propagateLimit(old, notice instance.Notice) {
+	t.n.sched.SetLimit(time.Now(), notice.Limited, notice.Limit)
+	if notice.Limited != old.Limited {
+		t.n.broadcast()
 	}
 }
 
 // propagate opens or closes the scheduler for the new state, updates the
 // fleet, and notifies the other nodes and the task that writes the record.
 func (t *target) propagate(state instance.State, change instance.Change) {
+	t.n.sched.SetLimit(time.Now(), state.Notice.Limited, state.Notice.Limit)
 	if state.Ready && !t.n.stopping.Load() {
 		t.n.sched.Open(time.Now(), state.Slots, state.WarmUntil, change == instance.Started)
 	} else {
--- a/internal/timeline/text.go
+++ b/internal/timeline/text.go
@@ -37,6 +37,7 @@
 	contract.ReasonStaleTarget:     "the VM was restarted since it was chosen",
 	contract.ReasonRingFull:        "a ring inside the node was full",
 	contract.ReasonUpstreamSilent:  "the upstream has stopped responding",
+	contract.ReasonUpstreamLimit:   "the limit that the upstream names is used up",
 }
 
 // Write writes the events, one line each, and a line for each gap before the
--- a/internal/vm/instance/notice.go
+++ b/internal/vm/instance/notice.go
@@ -28,6 +28,16 @@
 	KeepLimit bool
 }
 
+// Report is what a node has heard of an instance, as nodes tell each other.
+type Report struct {
+	Notice
+	Instance string
+	// Version grows with each change of the Notice, over all instances and
+	// processes of a VM. It is 0 in the report of the VM's own node if that has
+	// not read an answer of the instance since its start.
+	Version uint64
+}
+
 // stricter reports whether n allows fewer requests than other.
 func (n Notice) stricter(other Notice) bool {
 	return n.Limited && (!other.Limited || n.Limit < other.Limit)
@@ -61,6 +71,8 @@
 		return false
 	}
 	changed = a.Limited != s.Notice.Limited || a.Limit != s.Notice.Limit
-	s.Notice.Limited, s.Notice.Limit, s.LimitAt = a.Limited, a.Limit, now
+	if a.Limited || changed {
+		s.Notice.Limited, s.Notice.Limit, s.LimitAt = a.Limited, a.Limit, now
+	}
 	return changed
 }
--- a/internal/vm/scheduler/controller.go
+++ b/internal/vm/scheduler/controller.go
@@ -29,6 +29,9 @@
 	Deadline time.Time
 	// Idempotent requests may be sent as probes to an unresponsive upstream.
 	Idempotent bool
+	// NoWait requests are rejected where they would wait for the limit that
+	// the upstream names: another upstream has none.
+	NoWait bool
 	// ObjectiveAt is when the latency objective of the request ends. Zero, or a
 	// time after Deadline, stands for Deadline.
 	ObjectiveAt time.Time
@@ -60,6 +63,9 @@
 	Cold bool
 	// Threshold is the priority level below which requests should not be sent.
 	Threshold contract.Level
+	// PaceWait is how long a request that arrives now would wait for the limit
+	// that the upstream names.
+	PaceWait time.Duration
 }
 
 // state of an entry.
@@ -95,6 +101,7 @@
 	queue          []*entry
 	latencies      latencies
 	shedder        shedder
+	pacer          pacer
 	responsiveness responsiveness
 }
 
@@ -107,6 +114,12 @@
 	mean := c.latencies.mean()
 	wait := time.Duration(len(c.queue)) * mean / time.Duration(c.slots)
 	c.shedder.updateThreshold(now, wait, mean, c.slots)
+	c.pacer.updateThreshold(now, len(c.queue))
+}
+
+// threshold is the priority level below which requests should not be sent.
+func (c *controller) threshold() contract.Level {
+	return max(c.shedder.threshold(), c.pacer.threshold())
 }
 
 // offer starts the request, queues it or rejects it.
@@ -116,20 +129,34 @@
 	if !c.responsiveness.admits(now, c.inFlight, c.latencies.mean(), r.Idempotent) {
 		return nil, &Refusal{Reason: contract.ReasonUpstreamSilent, RetryAfter: probeInterval}
 	}
+	paced := c.pacer.wait(now, len(c.queue)+1)
+	if c.pacer.bars(&r) || r.NoWait && paced > 0 {
+		return nil, &Refusal{Reason: contract.ReasonUpstreamLimit, RetryAfter: paced}
+	}
+	c.pacer.offered()
 	e := &entry{Request: r, since: now}
-	if c.inFlight < c.slots && len(c.queue) == 0 {
+	if c.inFlight < c.slots && len(c.queue) == 0 && c.pacer.ready(now) {
 		c.start(now, e)
 		return e, nil
 	}
-	wait := c.expectedWait(r.Rank)
+	wait := c.expectedWait(now, r.Rank)
 	if len(c.queue) >= maxWaiting || now.Add(wait+c.latencies.expected(r.Kind)).After(r.answerBy()) {
-		return nil, &Refusal{Reason: contract.ReasonOverload, RetryAfter: wait}
+		return nil, &Refusal{Reason: c.lacking(now), RetryAfter: wait}
 	}
 	e.decision = make(chan *Refusal, 1)
 	c.insert(e)
 	return e, nil
 }
 
+// lacking returns the reason for which a request can't start now: the limit
+// that the upstream names, or its slots.
+func (c *controller) lacking(now time.Time) contract.Reason {
+	if c.pacer.wait(now, len(c.queue)+1) > 0 {
+		return contract.ReasonUpstreamLimit
+	}
+	return contract.ReasonOverload
+}
+
 // insert puts an entry behind all entries whose rank is not higher.
 func (c *controller) insert(e *entry) {
 	i := len(c.queue)
@@ -141,8 +168,9 @@
 	c.queue[i] = e
 }
 
-// expectedWait estimates how long a request of the rank would wait for a slot.
-func (c *controller) expectedWait(rank int) time.Duration {
+// expectedWait estimates how long a request of the rank would wait for a slot
+// and for the limit that the upstream names.
+func (c *controller) expectedWait(now time.Time, rank int) time.Duration {
 	if c.slots < 1 {
 		return 0
 	}
@@ -153,11 +181,13 @@
 		}
 		ahead++
 	}
-	return time.Duration(ahead) * c.latencies.mean() / time.Duration(c.slots)
+	forSlot := time.Duration(ahead) * c.latencies.mean() / time.Duration(c.slots)
+	return max(forSlot, c.pacer.wait(now, ahead))
 }
 
 func (c *controller) start(now time.Time, e *entry) {
 	c.responsiveness.started(now, c.inFlight)
+	c.pacer.take(now)
 	e.state, e.since = running, now
 	c.inFlight++
 }
@@ -177,22 +207,44 @@
 	c.dispatch(now)
 }
 
-// dispatch starts waiting requests while slots are free. A request that can no
-// longer be answered in time is rejected instead.
+// dispatch starts waiting requests while slots are free and the limit that the
+// upstream names allows it. A request that can no longer be answered in time, or
+// not under this limit, is rejected instead.
 func (c *controller) dispatch(now time.Time) {
 	for c.inFlight < c.slots && len(c.queue) > 0 {
 		e := c.queue[0]
-		c.queue = c.queue[1:]
-		if now.After(c.latestStart(e)) {
-			e.state = ended
-			e.decision <- &Refusal{Reason: contract.ReasonQueueTimeout, RetryAfter: c.expectedWait(e.Rank)}
-			continue
+		switch {
+		case now.After(c.latestStart(e)):
+			c.rejectFirst(now, contract.ReasonQueueTimeout)
+		case c.pacer.bars(&e.Request):
+			c.rejectFirst(now, contract.ReasonUpstreamLimit)
+		case !c.pacer.ready(now):
+			return
+		default:
+			c.queue = c.queue[1:]
+			c.start(now, e)
+			e.decision <- nil
 		}
-		c.start(now, e)
-		e.decision <- nil
 	}
 }
 
+// rejectFirst rejects the request at the head of the queue.
+func (c *controller) rejectFirst(now time.Time, reason contract.Reason) {
+	e := c.queue[0]
+	c.queue = c.queue[1:]
+	e.state = ended
+	e.decision <- &Refusal{Reason: reason, RetryAfter: c.expectedWait(now, e.Rank)}
+}
+
+// nextDispatch returns the time until waiting requests can start although no
+// running one ends, and reports whether there is such a time.
+func (c *controller) nextDispatch(now time.Time) (wait time.Duration, ok bool) {
+	if len(c.queue) == 0 || c.inFlight >= c.slots {
+		return 0, false
+	}
+	return c.pacer.wait(now, 1), true
+}
+
 // latestStart is when a request must have started to be answered in time.
 func (c *controller) latestStart(e *entry) time.Time {
 	return e.answerBy().Add(-c.latencies.expected(e.Kind))
--- a/internal/vm/scheduler/scheduler.go
+++ b/internal/vm/scheduler/scheduler.go
@@ -15,6 +15,8 @@
 	c      controller
 	open   bool
 	warmAt time.Time
+	// timer starts waiting requests when the limit of the upstream allows it.
+	timer *time.Timer
 }
 
 // NewScheduler returns a closed scheduler.
@@ -37,6 +39,39 @@
 	s.open, s.warmAt = true, warmAt
 	s.c.slots = max(slots, 1)
 	s.c.dispatch(now)
+	s.setTimer(now)
+}
+
+// SetLimit paces requests by the limit that the upstream names, in requests a
+// second, or no longer if it names none. limit must be finite and 0 or more.
+func (s *Scheduler) SetLimit(now time.Time, limited bool, limit float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.c.pacer.setLimit(now, limited, limit)
+	s.c.dispatch(now)
+	s.setTimer(now)
+}
+
+// setTimer sets the timer if requests wait only for the limit of the upstream.
+// The caller holds s.mu.
+func (s *Scheduler) setTimer(now time.Time) {
+	wait, ok := s.c.nextDispatch(now)
+	switch {
+	case !ok:
+	case s.timer == nil:
+		s.timer = time.AfterFunc(wait, s.dispatch)
+	default:
+		s.timer.Reset(wait)
+	}
+}
+
+// dispatch starts waiting requests when the timer fires.
+func (s *Scheduler) dispatch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.c.dispatch(now)
+	s.setTimer(now)
 }
 
 // Close rejects all requests until the next Open, waiting requests with the
@@ -63,6 +98,7 @@
 	}
 	queued := e.state == waiting
 	latest := s.c.latestStart(e)
+	s.setTimer(now)
 	s.mu.Unlock()
 	if !queued {
 		return &Permit{e}, nil
@@ -86,7 +122,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.c.withdraw(e) {
-		return nil, &Refusal{Reason: reason, RetryAfter: s.c.expectedWait(e.Rank)}
+		return nil, &Refusal{Reason: reason, RetryAfter: s.c.expectedWait(time.Now(), e.Rank)}
 	}
 	return permitOf(e, <-e.decision) // decided before s.mu was taken
 }
@@ -104,6 +140,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.c.release(now, p.e, ran)
+	s.setTimer(now)
 }
 
 // Load returns a snapshot with the latency of the kind, or with the mean over
@@ -117,7 +154,8 @@
 	}
 	s.c.updateThreshold(now)
 	return Load{
-		Threshold: s.c.shedder.threshold(),
+		Threshold: s.c.threshold(),
+		PaceWait:  s.c.pacer.wait(now, len(s.c.queue)+1),
 		InFlight:  s.c.inFlight,
 		Waiting:   len(s.c.queue),
 		Slots:     s.c.slots,
