An upstream that says in its answers that it leaves gets no new work

An upstream that leaves says Server-Leaving in its answers; its heartbeats may say ready for seconds more, or for good. Nobody read the header, so it went on getting requests: 863 in the second after it had said so.

The other nodes hear of it in the reply and in the next heartbeat and keep it by instance, so neither a heartbeat that says ready nor a restart of that node opens the upstream again; another instance does.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -226,4 +226,6 @@
 // usable reports whether requests can be sent to the upstream. A load that
 // reports draining is valid only until the next one: loads of one node arrive
 // over several paths, and an old one may arrive last.
-func (e *entry) usable() bool { return e.linked && e.Ready && !e.load.Draining }
+func (e *entry) usable() bool {
+	return e.linked && e.Ready && !e.load.Draining && !e.heard().Leaving
+}
--- a/internal/fleet/notice_test.go
+++ b/internal/fleet/notice_test.go
@@ -74,6 +74,18 @@
 	}
 }
 
+func TestUpstreamThatLeavesIsNotChosen(t *testing.T) {
+	f := newFleet()
+	f.hearFrom("local", leaving("i-local", 5))
+	if got := picks(f, epoch, 20); got["local"] > 0 {
+		t.Fatalf("%d of 20 calls sent to an upstream that leaves, want 0", got["local"])
+	}
+	f.Put(Upstream{VM: "local", Service: "span", Datacentre: "west", Instance: "i-next", Slots: 10, Ready: true})
+	if got := picks(f, epoch, 20); got["local"] == 0 {
+		t.Fatal("the next instance gets no calls")
+	}
+}
+
 func TestRequestsWaitForALimitOnlyWhereAllNameOne(t *testing.T) {
 	f := newFleet()
 	f.hearFrom("local", limited("i-local", 5, 8))
--- a/internal/vm/instance/instance.go
+++ b/internal/vm/instance/instance.go
@@ -6,7 +6,8 @@
 // Heartbeats can arrive seconds late, also those of an instance that has ended.
 // An instance that was replaced or has deregistered is remembered, and its
 // later heartbeats are ignored. What the upstream itself answers takes
-// precedence over any heartbeat.
+// precedence over any heartbeat, and what it says of itself in its answers is
+// kept until another instance starts.
 package instance
 
 import "time"
@@ -137,8 +138,8 @@
 	t.state.seq = h.Seq
 	t.state.Service = h.Service
 	t.state.Slots = h.Slots
-	t.state.leaving = h.Draining
-	t.state.Ready = !h.Draining
+	t.state.leaving = h.Draining || t.state.Notice.Leaving
+	t.state.Ready = !t.state.leaving
 	t.state.WarmUntil = now.Add(h.Warmup)
 }
 
--- a/internal/vm/instance/notice.go
+++ b/internal/vm/instance/notice.go
@@ -56,7 +56,7 @@
 	t.state.Heard = true
 	changed := !a.KeepLimit && t.state.hearLimit(now, a)
 	if a.Leaving && !t.state.Notice.Leaving {
-		t.state.Notice.Leaving = true
+		t.state.leave()
 		return Leaving
 	}
 	if changed {
@@ -65,6 +65,11 @@
 	return Same
 }
 
+// leave records that the instance has said that it leaves.
+func (s *State) leave() {
+	s.Notice.Leaving, s.leaving, s.Ready = true, true, false
+}
+
 // hearLimit applies the limit of an answer and reports whether it changed.
 func (s *State) hearLimit(now time.Time, a Answer) (changed bool) {
 	if s.Notice.stricter(a.Notice) && !a.Sent.After(s.LimitAt) {
--- a/internal/vm/instance/notice_test.go
+++ b/internal/vm/instance/notice_test.go
@@ -55,3 +55,20 @@
 		t.Fatalf("got %+v, want a ready instance that has said nothing", got)
 	}
 }
+
+func TestInstanceThatSaysItLeavesNeverReturns(t *testing.T) {
+	says := func(id string, n Notice) func(*Tracker) Change {
+		return func(tr *Tracker) Change { return tr.HandleAnswer(time.Unix(0, 0), Answer{Instance: id, Notice: n}) }
+	}
+	run(t, []step{
+		{"first", handle(heartbeat("a", 1)), Started, "a", true},
+		{"an answer of another instance", says("x", Notice{Leaving: true}), Same, "a", true},
+		{"says that it leaves", says("a", Notice{Leaving: true}), Leaving, "a", false},
+		{"says it again", says("a", Notice{Leaving: true}), Same, "a", false},
+		{"slow answer from before", says("a", Notice{}), Same, "a", false},
+		{"heartbeat that says ready", handle(heartbeat("a", 2)), Same, "a", false},
+		{"refuses connections", func(tr *Tracker) Change { return tr.ConnectionRefused("a") }, Same, "a", false},
+		{"heartbeat after that", handle(heartbeat("a", 3)), Same, "a", false},
+		{"new instance", handle(heartbeat("b", 1)), Started, "b", true},
+	})
+}
