A restarted node asks nobody: others tell it what it had heard of its upstream

After a restart of the node beside it, an upstream with a limit of 1 a second got 4 requests at once, as many as it has slots, until its first answer; one that had said that it leaves got one more from the clients of its own machine. Cause: what the upstream had said was lost with the process, while the nodes that had heard it went on sending.

Those nodes now bring it back. A call carries what its sender has heard of the receiver's upstream, if that restricts it, so it is in force before the call is let through; and a node answers the first heartbeat of one that has heard nothing with the same. It is believed until the first answer that the restarted node reads itself: all requests pass that node, so others know nothing newer.

--- a/internal/fleet/notice.go
+++ b/internal/fleet/notice.go
@@ -33,6 +33,16 @@
 	b.until = now.Add(time.Duration(spread * float64(b.wait)))
 }
 
+// Notice returns the newest notice of the upstream of a VM, or the zero value.
+func (f *Fleet) Notice(vm string) instance.Report {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e := f.byVM[vm]; e != nil {
+		return e.notice
+	}
+	return instance.Report{}
+}
+
 // hear records a notice. Notices of one VM arrive over several paths, so an
 // older one may arrive last. An instance that has said that it leaves has said
 // it for good.
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -202,6 +202,7 @@
 		Have:           f.Have,
 		Load:           f.Load,
 		Members:        f.Members,
+		Notice:         f.Notice,
 		FetchMembers:   f.FetchMembers,
 		FetchDocuments: f.FetchDocuments,
 		Documents:      f.Documents,
--- a/internal/sidecar/notice.go
+++ b/internal/sidecar/notice.go
@@ -8,13 +8,17 @@
 
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
+	"heathershed/internal/link"
 	"heathershed/internal/upstream"
 	"heathershed/internal/vm/instance"
 	"heathershed/platform"
 )
 
 // The node beside an upstream owns what the upstream says of itself in its
-// answers: it keeps the limit. Other nodes hear of it in replies and heartbeats.
+// answers: it keeps the limit, and closes when the upstream leaves. Other nodes
+// hear of it in replies and heartbeats. They tell it again, with each call and
+// in answer to a heartbeat, for as long as the owner has not read an answer
+// since its start.
 
 // observeNotice records what a complete answer of an instance, to a request that
 // was sent at sent, says about the instance.
@@ -30,6 +34,31 @@
 	n.target.update("answer", func(tr *instance.Tracker) instance.Change { return tr.HandleAnswer(time.Now(), a) })
 }
 
+// recall applies what another node has heard of the local upstream.
+func (n *Node) recall(m *linkpb.UpstreamNotice) {
+	if m == nil {
+		return
+	}
+	r := reportOf(m)
+	n.target.update("node", func(tr *instance.Tracker) instance.Change { return tr.Recall(time.Now(), r) })
+}
+
+// remind tells the node at the other end of a session what this node has heard
+// of its upstream, if that node has not heard it itself since its start.
+func (n *Node) remind(s *link.Session, f *linkpb.ControlFrame) {
+	own := f.GetLoad().GetNotice()
+	if own == nil || own.Version > 0 {
+		return
+	}
+	known := n.fleet.Notice(f.Vm)
+	if known.Instance != own.Instance || !known.Restricts() {
+		return
+	}
+	reminder := n.newFrame()
+	reminder.Notice = noticeMessage(known)
+	s.Send(reminder)
+}
+
 // report returns what is known of the current instance, or the zero value if
 // none is known.
 func (t *target) report() instance.Report {
--- a/internal/sidecar/notice_test.go
+++ b/internal/sidecar/notice_test.go
@@ -283,3 +283,30 @@
 		}
 	}
 }
+
+func TestLeavingIsRecalledAfterARestartOfItsNode(t *testing.T) {
+	t.Parallel()
+	tc, near, far := startTrio(t)
+	leaving := newTalker(far[0].up)
+	leaving.say(platformtest.HeaderLeaving, "1")
+	tc.waitFor("an answer that says so", func() bool {
+		near.request("GET", "/far/1", nil)
+		return leaving.since(time.Time{}) > 0
+	})
+	far[0].halt()
+	far[0].run()
+	tc.t.Cleanup(far[0].halt)
+	tc.waitFor("ready again", far[0].ready)
+	far[0].heartbeat("far", "ready")
+	tc.waitFor("linked again", func() bool { _, usable := far[0].node.fleet.Counts(); return usable >= 2 })
+	time.Sleep(300 * time.Millisecond)
+	restarted := time.Now()
+	for range 20 {
+		if a := far[0].request("GET", "/far/1", nil); a.status != http.StatusOK {
+			t.Errorf("got status %d, want 200 from the other upstream", a.status)
+		}
+	}
+	if got := leaving.since(restarted); got > 0 {
+		t.Errorf("upstream that leaves got %d requests of its node's own clients after the restart, want 0", got)
+	}
+}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -270,6 +270,8 @@
 	if f.Load != nil {
 		n.fleet.UpdateLoad(f.Vm, loadOf(f.Load))
 	}
+	n.recall(f.Notice)
+	n.remind(s, f)
 	for _, d := range f.Documents {
 		if d.Name == documentRoutes {
 			n.adopt("link", d.Value)
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -186,6 +186,9 @@
 		Idempotent:  c.route.Idempotent,
 		NoWait:      choice.NoWait,
 	}
+	if choice.Notice.Restricts() {
+		req.Notice = noticeMessage(choice.Notice)
+	}
 	if !c.objectiveAt.IsZero() {
 		req.ObjectiveUs = max(c.objectiveAt.Sub(now).Microseconds(), 1)
 	}
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -30,6 +30,7 @@
 func (n *Node) serveLocal(ctx context.Context, req *linkpb.CallRequest) *linkpb.CallReply {
 	now := time.Now()
 	deadline := now.Add(time.Duration(req.TimeoutUs) * time.Microsecond)
+	n.recall(req.Notice)
 	reply := n.admitAndRun(ctx, req, now, deadline)
 	reply.Vm = n.cfg.VM
 	reply.Load = n.load(req.Kind)
--- a/internal/vm/instance/notice.go
+++ b/internal/vm/instance/notice.go
@@ -38,6 +38,10 @@
 	Version uint64
 }
 
+// Restricts reports whether the instance takes fewer requests than its slots
+// allow.
+func (n Notice) Restricts() bool { return n.Limited || n.Leaving }
+
 // stricter reports whether n allows fewer requests than other.
 func (n Notice) stricter(other Notice) bool {
 	return n.Limited && (!other.Limited || n.Limit < other.Limit)
@@ -65,6 +69,24 @@
 	return Same
 }
 
+// Recall applies what another node has heard of the current instance, at now.
+// It counts until this process has read an answer of the instance: other nodes
+// know nothing newer than that, since all requests pass this node.
+func (t *Tracker) Recall(now time.Time, r Report) Change {
+	if r.Instance == "" || r.Instance != t.state.ID || t.state.Heard {
+		return Same
+	}
+	if r.Leaving && !t.state.Notice.Leaving {
+		t.state.leave()
+		return Leaving
+	}
+	if r.stricter(t.state.Notice) {
+		t.state.Notice.Limited, t.state.Notice.Limit, t.state.LimitAt = true, r.Limit, now
+		return Limited
+	}
+	return Same
+}
+
 // leave records that the instance has said that it leaves.
 func (s *State) leave() {
 	s.Notice.Leaving, s.leaving, s.Ready = true, true, false
--- a/internal/vm/instance/notice_test.go
+++ b/internal/vm/instance/notice_test.go
@@ -72,3 +72,32 @@
 		{"new instance", handle(heartbeat("b", 1)), Started, "b", true},
 	})
 }
+
+// TestOtherNodesAreBelievedUntilTheFirstAnswer restarts the node: it knows
+// nothing but what other nodes have heard, which may be old.
+func TestOtherNodesAreBelievedUntilTheFirstAnswer(t *testing.T) {
+	at := func(s int64) time.Time { return time.Unix(s, 0) }
+	recall := func(id string, n Notice) func(*Tracker) Change {
+		return func(tr *Tracker) Change { return tr.Recall(at(10), Report{Instance: id, Notice: n}) }
+	}
+	answer := func(sent int64, n Notice) func(*Tracker) Change {
+		return func(tr *Tracker) Change {
+			return tr.HandleAnswer(at(20), Answer{Instance: "a", Sent: at(sent), Notice: n})
+		}
+	}
+	limit := func(limit float64) Notice { return Notice{Limited: true, Limit: limit} }
+	run(t, []step{
+		{"record", func(tr *Tracker) Change { return tr.Restore("a", "span", 4) }, Started, "a", true},
+		{"limit of another instance", recall("b", limit(1)), Same, "a", true},
+		{"limit", recall("a", limit(8)), Limited, "a", true},
+		{"higher limit", recall("a", limit(9)), Same, "a", true},
+		{"lower limit", recall("a", limit(3)), Limited, "a", true},
+		{"nothing heard", recall("a", Notice{}), Same, "a", true},
+		{"answer to a request from before", answer(9, Notice{}), Same, "a", true},
+		{"answer to a request after that", answer(11, Notice{}), Limited, "a", true},
+		{"another node has an old limit", recall("a", limit(3)), Same, "a", true},
+		{"new instance", handle(heartbeat("b", 1)), Started, "b", true},
+		{"leaves", recall("b", Notice{Leaving: true}), Leaving, "b", false},
+		{"heartbeat that says ready", handle(heartbeat("b", 2)), Same, "b", false},
+	})
+}
