A request does not wait for a limit that its sender could not know

Where a limit begins, what waits is now rejected as "not run", and where it falls, what can't start in time any more; a call of a sender that does not know of a limit is not kept waiting for it. The reply tells, and the sender chooses again.

Tests, both failed before: TestQueuedRequestsAreRejectedWhenALimitBeginsOrFalls, TestSenderThatKnowsNoLimitIsAnsweredAtOnce (ran after 501 ms).

--- a/internal/sidecar/notice_test.go
+++ b/internal/sidecar/notice_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	linkpb "heathershed/api/link"
+	"heathershed/internal/contract"
 	"heathershed/platform/platformtest"
 )
 
@@ -310,3 +312,30 @@
 		t.Errorf("upstream that leaves got %d requests of its node's own clients after the restart, want 0", got)
 	}
 }
+
+// TestSenderThatKnowsNoLimitIsAnsweredAtOnce guards against requests that wait
+// for a limit although another upstream, which their sender would choose if it
+// knew, has room.
+func TestSenderThatKnowsNoLimitIsAnsweredAtOnce(t *testing.T) {
+	t.Parallel()
+	_, _, far := startPair(t)
+	newTalker(far.up).say(platformtest.HeaderLimit, "2")
+	call := func(knows bool) *linkpb.CallReply {
+		req := &linkpb.CallRequest{
+			Kind: "far", Service: "far", Method: "GET", Uri: "/far/1", Host: "h", AttemptId: fmt.Sprint("u-", attemptNumber.Add(1)),
+			TimeoutUs: (5 * time.Second).Microseconds(), Idempotent: true,
+		}
+		if knows {
+			req.Notice = &linkpb.UpstreamNotice{Instance: far.up.id, Limited: true, Limit: 2}
+		}
+		return far.node.Call(t.Context(), req)
+	}
+	call(false) // names the limit
+	began := time.Now()
+	if r := call(false); contract.Reason(r.Reason) != contract.ReasonUpstreamLimit || r.RetryAfterMs == 0 || time.Since(began) > 200*time.Millisecond {
+		t.Errorf("got %v %v after %v, want it refused for the limit at once", contract.Verdict(r.Verdict), contract.Reason(r.Reason), time.Since(began))
+	}
+	if r := call(true); contract.Verdict(r.Verdict) != contract.Ran {
+		t.Errorf("sender that knows the limit: got %v %v, want it run after a wait", contract.Verdict(r.Verdict), contract.Reason(r.Reason))
+	}
+}
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -68,7 +68,9 @@
 func schedulerRequest(req *linkpb.CallRequest, now, deadline time.Time) scheduler.Request {
 	const ranksPerClass = 2
 	class := int(contract.Level(req.Level).Class())
-	r := scheduler.Request{Kind: req.Kind, Rank: ranksPerClass * (contract.NumClasses - class), Deadline: deadline, Idempotent: req.Idempotent, NoWait: req.NoWait}
+	r := scheduler.Request{Kind: req.Kind, Rank: ranksPerClass * (contract.NumClasses - class), Deadline: deadline, Idempotent: req.Idempotent}
+	// A sender that does not know of a limit may know an upstream without one.
+	r.NoWait = req.NoWait || !req.Notice.GetLimited()
 	if req.Inner {
 		r.Rank--
 	}
--- a/internal/vm/scheduler/controller.go
+++ b/internal/vm/scheduler/controller.go
@@ -208,32 +208,55 @@
 }
 
 // dispatch starts waiting requests while slots are free and the limit that the
-// upstream names allows it. A request that can no longer be answered in time, or
-// not under this limit, is rejected instead.
+// upstream names allows it. A request that can no longer be answered in time is
+// rejected instead.
 func (c *controller) dispatch(now time.Time) {
 	for c.inFlight < c.slots && len(c.queue) > 0 {
 		e := c.queue[0]
-		switch {
-		case now.After(c.latestStart(e)):
-			c.rejectFirst(now, contract.ReasonQueueTimeout)
-		case c.pacer.bars(&e.Request):
-			c.rejectFirst(now, contract.ReasonUpstreamLimit)
-		case !c.pacer.ready(now):
+		late := now.After(c.latestStart(e))
+		if !late && !c.pacer.ready(now) {
 			return
-		default:
-			c.queue = c.queue[1:]
-			c.start(now, e)
-			e.decision <- nil
 		}
+		c.queue = c.queue[1:]
+		if late {
+			e.state = ended
+			e.decision <- &Refusal{Reason: contract.ReasonQueueTimeout, RetryAfter: c.expectedWait(now, e.Rank)}
+			continue
+		}
+		c.start(now, e)
+		e.decision <- nil
 	}
 }
 
-// rejectFirst rejects the request at the head of the queue.
-func (c *controller) rejectFirst(now time.Time, reason contract.Reason) {
-	e := c.queue[0]
-	c.queue = c.queue[1:]
-	e.state = ended
-	e.decision <- &Refusal{Reason: reason, RetryAfter: c.expectedWait(now, e.Rank)}
+// setLimit paces requests by the limit that the upstream names, or no longer.
+// Where a limit begins, waiting requests are rejected: their senders did not know
+// of it and may know an upstream without one. Where it falls, those are rejected
+// that can't start in time any more.
+func (c *controller) setLimit(now time.Time, limited bool, limit float64) {
+	began, fell := !c.pacer.limited, limit < c.pacer.limit
+	c.pacer.setLimit(now, limited, limit)
+	switch {
+	case limited && began:
+		c.rejectAll(contract.ReasonUpstreamLimit)
+	case limited && fell:
+		c.rejectLate(now)
+	}
+	c.dispatch(now)
+}
+
+// rejectLate rejects waiting requests that the limit lets start too late.
+func (c *controller) rejectLate(now time.Time) {
+	waiting := c.queue
+	c.queue = nil
+	for _, e := range waiting {
+		start := c.pacer.wait(now, len(c.queue)+1)
+		if c.pacer.bars(&e.Request) || now.Add(start).After(c.latestStart(e)) {
+			e.state = ended
+			e.decision <- &Refusal{Reason: contract.ReasonUpstreamLimit, RetryAfter: start}
+			continue
+		}
+		c.queue = append(c.queue, e)
+	}
 }
 
 // nextDispatch returns the time until waiting requests can start although no
--- a/internal/vm/scheduler/pacer_test.go
+++ b/internal/vm/scheduler/pacer_test.go
@@ -30,7 +30,7 @@
 		c: newController(1000), now: at(0),
 		waiting: make(map[*entry]bool), running: make(map[*entry]time.Time), byRank: make(map[int]int),
 	}
-	s.c.pacer.setLimit(s.now, true, limit)
+	s.c.setLimit(s.now, true, limit)
 	return s
 }
 
@@ -147,16 +147,45 @@
 	}
 }
 
-func TestQueuedOrderIsRejectedWhenTheLimitFallsToZero(t *testing.T) {
-	s := newLimitSim(1)
-	e, refusal := s.c.offer(s.now, Request{Kind: "k", Deadline: at(60_000)})
-	if refusal != nil {
-		t.Fatal(refusal.Reason)
+// TestQueuedRequestsAreRejectedWhenALimitBeginsOrFalls guards against requests
+// that wait for nothing while another upstream has room.
+func TestQueuedRequestsAreRejectedWhenALimitBeginsOrFalls(t *testing.T) {
+	lookup := Request{Kind: "k", Idempotent: true, Deadline: at(3000)}
+	order := Request{Kind: "k", Deadline: at(60_000)}
+	cases := []struct {
+		name   string
+		before float64 // less than 0: no limit
+		after  float64
+		r      Request
+		reject bool
+	}{
+		{"begins", -1, 5, lookup, true},
+		{"falls, still in time", 5, 2, lookup, false},
+		{"falls, too late then", 5, 0.1, Request{Kind: "k", Idempotent: true, Deadline: at(1500)}, true},
+		{"falls to 0, order", 5, 0, order, true},
+		{"rises", 2, 5, lookup, false},
 	}
-	s.c.pacer.setLimit(s.now, true, 0)
-	s.c.dispatch(s.now)
-	if refusal := <-e.decision; refusal == nil || refusal.Reason != contract.ReasonUpstreamLimit {
-		t.Fatalf("got %+v, want the order rejected for the limit", refusal)
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newController(1)
+			if tc.before >= 0 {
+				c.setLimit(at(0), true, tc.before)
+			} else {
+				mustOffer(t, c, at(0), lookup) // takes the slot
+			}
+			e := mustOffer(t, c, at(0), tc.r)
+			c.setLimit(at(1), true, tc.after)
+			select {
+			case refusal := <-e.decision:
+				if !tc.reject || refusal == nil || refusal.Reason != contract.ReasonUpstreamLimit {
+					t.Errorf("got refusal %+v, want rejected %v", refusal, tc.reject)
+				}
+			default:
+				if tc.reject {
+					t.Error("still waits, want it rejected")
+				}
+			}
+		})
 	}
 }
 
@@ -171,8 +200,7 @@
 	if s.c.threshold() == 0 || len(s.c.queue) == 0 {
 		t.Fatalf("threshold %d and %d queued under the limit, want both above 0", s.c.threshold(), len(s.c.queue))
 	}
-	s.c.pacer.setLimit(s.now, false, 0)
-	s.c.dispatch(s.now)
+	s.c.setLimit(s.now, false, 0)
 	if s.c.threshold() != 0 || len(s.c.queue) != 0 {
 		t.Errorf("threshold %d and %d queued after its end, want 0 and 0", s.c.threshold(), len(s.c.queue))
 	}
--- a/internal/vm/scheduler/scheduler.go
+++ b/internal/vm/scheduler/scheduler.go
@@ -47,8 +47,7 @@
 func (s *Scheduler) SetLimit(now time.Time, limited bool, limit float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.c.pacer.setLimit(now, limited, limit)
-	s.c.dispatch(now)
+	s.c.setLimit(now, limited, limit)
 	s.setTimer(now)
 }
 
