Requests that can go elsewhere do not raise the threshold under a limit

Cause: a request that was admitted within the limit, though it would have gone elsewhere without one, counted as demand. The upstream's demand was then exactly its limit, above the target of 0.97, so its threshold rose for as long as the limit lasted, and rode back to every ingress. Only requests that have nowhere else to go count now.

Test: TestRequestsThatCanGoElsewhereDoNotRaiseTheThreshold (threshold 11 after 280 ms before).

--- a/internal/vm/scheduler/controller.go
+++ b/internal/vm/scheduler/controller.go
@@ -133,7 +133,9 @@
 	if c.pacer.bars(&r) || r.NoWait && paced > 0 {
 		return nil, &Refusal{Reason: contract.ReasonUpstreamLimit, RetryAfter: paced}
 	}
-	c.pacer.offered()
+	if !r.NoWait {
+		c.pacer.offered()
+	}
 	e := &entry{Request: r, since: now}
 	if c.inFlight < c.slots && len(c.queue) == 0 && c.pacer.ready(now) {
 		c.start(now, e)
--- a/internal/vm/scheduler/pacer_test.go
+++ b/internal/vm/scheduler/pacer_test.go
@@ -248,3 +248,20 @@
 		})
 	}
 }
+
+// TestRequestsThatCanGoElsewhereDoNotRaiseTheThreshold guards against an ingress
+// that sheds requests although another upstream has room for them.
+func TestRequestsThatCanGoElsewhereDoNotRaiseTheThreshold(t *testing.T) {
+	s := newLimitSim(8)
+	for range 6000 { // a minute, 100 a second
+		s.offer(Request{Kind: "k", Idempotent: true, NoWait: true, Deadline: s.now.Add(2 * time.Second)})
+		s.step()
+		s.c.updateThreshold(s.now)
+		if got := s.c.threshold(); got > 0 {
+			t.Fatalf("threshold %d after %v, want 0", got, s.now.Sub(at(0)))
+		}
+	}
+	if got := len(s.starts); got < 450 {
+		t.Errorf("%d starts in a minute, want about 480", got)
+	}
+}
