A notice in the reply to a request from before its VM was forgotten counts

An upstream's entry is replaced when its VM is forgotten and found again. What the reply to an earlier request said went to the old entry, so the node passed on that the upstream leaves and went on choosing it. Found by reading; the new case of TestNewestNoticeOfAnInstanceIsKept failed before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -193,6 +193,7 @@
 	e.outstanding--
 	e.waitingSince = now
 	if r.Load != nil {
+		f.hear(e.VM, r.Load.Notice)
 		e.setLoad(*r.Load)
 		if r.Load.Latency > 0 {
 			e.latency[r.Kind] = r.Load.Latency
--- a/internal/fleet/notice.go
+++ b/internal/fleet/notice.go
@@ -43,6 +43,14 @@
 	return instance.Report{}
 }
 
+// hear records a notice of the upstream of a VM, whose entry may have been
+// replaced since a request was sent there. The caller holds f.mu.
+func (f *Fleet) hear(vm string, r instance.Report) {
+	if e := f.byVM[vm]; e != nil {
+		e.hear(r)
+	}
+}
+
 // hear records a notice. Notices of one VM arrive over several paths, so an
 // older one may arrive last. An instance that has said that it leaves has said
 // it for good.
--- a/internal/fleet/notice_test.go
+++ b/internal/fleet/notice_test.go
@@ -56,6 +56,12 @@
 			put(f, "", false)
 			put(f, "i-local", true)
 		}, instance.Notice{Leaving: true}},
+		{"answer to a request from before the VM was forgotten", func(f *Fleet) {
+			c, _ := f.Pick(epoch, Query{Service: "span", Exclude: []string{"remote"}})
+			f.Remove("local")
+			put(f, "i-local", true)
+			f.Done(epoch, c, Result{Verdict: contract.Ran, Load: &Load{Notice: leaving("i-local", 5)}})
+		}, instance.Notice{Leaving: true}},
 		{"another instance", func(f *Fleet) { f.hearFrom("local", leaving("i-local", 5)); put(f, "i-next", true) }, instance.Notice{}},
 		{"notice of the instance before arrives late", func(f *Fleet) {
 			put(f, "i-next", true)
