Soak: upstreams name limits and leave in their answers

They now name limits (0 to 20 requests a second) or say that they leave, in answers alone, at times drawn apart from the other faults: the plans of earlier seeds keep theirs. Upstreams that drain say it in answers too. In a phase of its own all of them name 5 a second for 9 s while a node is killed. Both promises are checked from what the upstreams got: "over limit" with the users' bound, "late leave".

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -95,6 +95,8 @@
 	}
 	outcome := outcomeOf(resp.StatusCode)
 	l.RecordOutcome(r.attempt, outcome)
+	sentTo, _ := l.Dispatched(r.attempt)
+	l.notices.recordPassedOn(sentTo, resp.Header)
 	if resp.StatusCode == http.StatusBadGateway || resp.StatusCode == http.StatusGatewayTimeout {
 		l.RecordGiveUp(r.attempt)
 	}
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -4,7 +4,8 @@
 //
 // NewPlan draws the faults: node processes that are killed, shut down
 // gracefully, paused, throttled or signalled to reload; upstreams that crash,
-// drain, fail, truncate their answers or are slow; connections to upstreams,
+// drain, fail, truncate their answers, are slow, or say in their answers that
+// they leave or take only so many requests a second; connections to upstreams,
 // between nodes and to the object API that a proxy delays, resets or
 // blackholes, one of them or all; an object API that is down or slow, serves
 // stale reads or loses answers. Faults occur in series and overlap.
--- a/internal/soak/givenup.go
+++ b/internal/soak/givenup.go
@@ -41,7 +41,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.entry(id)
-	a.sentTo, a.deadline = sentTo, deadline
+	a.sentTo, a.sent, a.deadline = sentTo, time.Now(), deadline
+}
+
+// Dispatched returns the VM to whose node an attempt was sent, and when.
+func (l *Ledger) Dispatched(id string) (sentTo string, sent time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.entry(id)
+	return a.sentTo, a.sent
 }
 
 // RecordExecution records a run that is expected to end in a complete answer.
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -36,6 +36,13 @@
 	// GivenUp: a request does not end with 502 or 504 while an upstream runs it
 	// and will answer before the deadline.
 	GivenUp Promise = "given up"
+	// OverLimit: an upstream gets no more requests than the limit that it names
+	// allows, from nodes that have passed it on.
+	OverLimit Promise = "over limit"
+	// LateLeave: an upstream that says in its answers that it leaves gets no
+	// requests that clients sent later than drainBound after their node had
+	// passed that on.
+	LateLeave Promise = "late leave"
 )
 
 // Violation is one broken promise.
@@ -68,18 +75,20 @@
 	runs      int
 	outcome   Outcome
 	cancelled time.Time // when its client cancelled it; zero if it has not
-	// sentTo is the VM whose node the attempt is sent to, deadline that of its
-	// client. gaveUp is when the nodes ended it without an upstream's answer.
-	sentTo           string
-	deadline, gaveUp time.Time
-	executions       []execution
-	reported         bool // it was reported as given up
+	// sentTo is the VM whose node the attempt is sent to, sent when, deadline
+	// that of its client. gaveUp is when the nodes ended it without an
+	// upstream's answer.
+	sentTo                 string
+	sent, deadline, gaveUp time.Time
+	executions             []execution
+	reported               bool // it was reported as given up
 }
 
 // Ledger records attempts, runs, outcomes and faults, and the violations that
 // follow from them. It is safe for concurrent use.
 type Ledger struct {
-	start time.Time
+	start   time.Time
+	notices *notices
 
 	mu         sync.Mutex
 	attempts   map[string]*attempt
@@ -99,13 +108,15 @@
 
 // NewLedger returns an empty ledger. Violations are dated from start.
 func NewLedger(start time.Time) *Ledger {
-	return &Ledger{
+	l := &Ledger{
 		start:    start,
 		attempts: make(map[string]*attempt),
 		outcomes: make(map[Outcome]int),
 		faults:   make(map[string]int),
 		ended:    make(map[string]time.Time),
 	}
+	l.notices = newNotices(l)
+	return l
 }
 
 // BeginFault records that a fault of a kind begins and returns the function
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -15,6 +17,8 @@
 	// intervals are random, so that some faults overlap and some occur in
 	// series.
 	meanInterval = 350 * time.Millisecond
+	// meanNoticeInterval is the same for what upstreams say in their answers.
+	meanNoticeInterval = 2 * time.Second
 	// A fault lasts for minDuration plus a random part of up to durationSpread.
 	minDuration    = 300 * time.Millisecond
 	durationSpread = 2 * time.Second
@@ -57,12 +61,15 @@
 // faultFunc injects one kind of fault for the time of the event.
 type faultFunc func(r *run, v *vm, e Event)
 
-// faultKinds are the kinds that a plan draws from. A change of their order
-// changes the plans of all seeds. Their names are printed.
-var faultKinds = []struct {
+// faultKind is one kind of fault. Its name is printed.
+type faultKind struct {
 	kind   string
 	inject faultFunc
-}{
+}
+
+// faultKinds are the kinds that a plan draws from. A change of their order
+// changes the plans of all seeds.
+var faultKinds = []faultKind{
 	{"kill", killNode},
 	{"stop", stopNode},
 	{"pause", pauseNode},
@@ -91,20 +98,34 @@
 	{"store stale", storeFaults(fake.Faults{StaleRead: 0.5, StaleBy: time.Second, RepeatEvent: 0.5})},
 }
 
+// noticeKinds are the kinds of what upstreams say in their answers. They are
+// drawn apart from the others, so that the plans of earlier seeds keep theirs.
+var noticeKinds = []faultKind{
+	{"limit", limitUpstream},
+	{"leave in answers", leaveInAnswers},
+}
+
 // NewPlan draws the faults of a run of the given length. The same arguments
 // give the same plan.
 func NewPlan(seed uint64, vms int, length time.Duration) []Event {
-	rng := rand.New(rand.NewPCG(seed, 1))
+	plan := draw(rand.New(rand.NewPCG(seed, 1)), vms, length, meanInterval, faultKinds)
+	plan = append(plan, draw(rand.New(rand.NewPCG(seed, 4)), vms, length, meanNoticeInterval, noticeKinds)...)
+	slices.SortStableFunc(plan, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
+// draw draws faults of some kinds, with a mean interval between their starts.
+func draw(rng *rand.Rand, vms int, length, interval time.Duration, kinds []faultKind) []Event {
 	var plan []Event
 	for at := time.Duration(0); ; {
-		at += time.Duration(rng.ExpFloat64() * float64(meanInterval))
+		at += time.Duration(rng.ExpFloat64() * float64(interval))
 		if at > length {
 			return plan
 		}
 		plan = append(plan, Event{
 			At:   at,
 			For:  minDuration + time.Duration(rng.Int64N(int64(durationSpread))),
-			Kind: faultKinds[rng.IntN(len(faultKinds))].kind,
+			Kind: kinds[rng.IntN(len(kinds))].kind,
 			VM:   rng.IntN(vms),
 			Draw: rng.Uint64(),
 		})
@@ -112,7 +133,7 @@
 }
 
 func injectorOf(kind string) faultFunc {
-	for _, f := range faultKinds {
+	for _, f := range slices.Concat(faultKinds, noticeKinds) {
 		if f.kind == kind {
 			return f.inject
 		}
@@ -132,6 +153,7 @@
 	}
 	defer v.processMu.Unlock()
 	defer r.ledger.BeginFault(faultNode)()
+	defer r.ledger.BeginFault(nodeFault(v.name))()
 	defer r.ledger.BeginFault(v.localFault())()
 	stop()
 	r.sleep(e.For)
@@ -159,6 +181,7 @@
 	}
 	defer v.processMu.Unlock()
 	defer r.ledger.BeginFault(faultPause)()
+	defer r.ledger.BeginFault(nodeFault(v.name))()
 	defer r.ledger.BeginFault(v.localFault())()
 	if e.For > crashLikePause {
 		defer time.AfterFunc(resumeSettle, r.ledger.BeginFault(pausedFault(v.name)))
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -86,6 +86,8 @@
 	r.startClients(clientCtx, &wg)
 	wg.Go(func() { r.operator.run(clientCtx, rand.New(rand.NewPCG(cfg.Seed, 2))) })
 	r.playFaults(report.Plan)
+	r.limitAll()
+	r.awaitRecovery("limit")
 	r.brownout()
 	r.awaitRecovery("cut")
 	r.slowdown()
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -72,6 +72,7 @@
 	seq     int
 	state   string
 	health  Health
+	notice  notice
 	drained time.Time // when draining was acknowledged; zero if it was not
 }
 
@@ -86,7 +87,7 @@
 	defer u.mu.Unlock()
 	u.starts++
 	u.id = fmt.Sprintf("i-%s-%d", strings.ReplaceAll(u.listen, ":", "-"), u.starts)
-	u.seq, u.state, u.health, u.drained = 0, "ready", Healthy, time.Time{}
+	u.seq, u.state, u.health, u.drained, u.notice = 0, "ready", Healthy, time.Time{}, notice{}
 	u.stop = cancel
 	u.server = &http.Server{Handler: u}
 	go func(s *http.Server) { _ = s.Serve(l) }(u.server) // Crash ends it
@@ -103,8 +104,10 @@
 	_ = server.Close() // the error changes nothing here
 }
 
-// Drain makes the following heartbeats announce that the upstream drains.
+// Drain makes the following heartbeats and answers announce that the upstream
+// drains.
 func (u *Upstream) Drain() {
+	u.sayLeaving()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.state = "draining"
@@ -159,6 +162,8 @@
 	}
 	attempt := r.Header.Get(platformtest.HeaderAttempt)
 	start := time.Now()
+	sentTo, sent := u.ledger.Dispatched(attempt)
+	u.ledger.notices.recordArrival(id, attempt, sentTo, sent)
 	run := u.ledger.RecordRun(attempt)
 	if late := time.Since(drained); !drained.IsZero() && late > drainBound && u.ledger.NoFaultSince(time.Now().Add(-drainBound), faultNode) {
 		u.ledger.AddViolation(LateDrain, attempt, fmt.Sprintf("%v after the acknowledgement at %s", late.Round(time.Millisecond), id))
@@ -175,6 +180,9 @@
 		return
 	}
 	rw.Header().Set(platformtest.HeaderAttempt, attempt)
+	u.mu.Lock()
+	u.notice.write(rw.Header())
+	u.mu.Unlock()
 	writeAnswer(rw, health, Body(attempt, intParam(r, "size")))
 }
 
