An upstream is not kept empty by what was learnt under its limit

An upstream in need is slow too. Trial with nine real nodes, two of five upstreams limited to 8 a second and 400 ms slow: after the limits had ended and they answered in 30 ms again, they got 0 requests in 6 s. Causes: their last latency was believed for ever by nodes that did not choose them, and without an answer nobody learnt that the limit had ended.

While an upstream names a limit, its known latency halves each second, so each node tries it again after some; its limit and the refusals without a wait bound that. At the end of the limit latencies and failures are forgotten, at the node beside it too.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -102,10 +102,7 @@
 // cost returns the expected latency in seconds, with the wait for the limit that
 // the upstream names, multiplied by the factors that apply to the upstream. mean stands in for an unknown latency.
 func (f *Fleet) cost(now time.Time, e *entry, kind string, mean time.Duration) float64 {
-	latency := e.latency[kind]
-	if latency == 0 {
-		latency = mean
-	}
+	latency := e.expectedLatency(now, kind, mean)
 	busy := max(e.outstanding, e.load.InFlight+e.load.Waiting+e.sent)
 	use := float64(busy+1) / float64(max(e.Slots, 1))
 	cost := (latency + e.paceWait(now)).Seconds() * (1 + loadFactor*use*use)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -89,7 +89,9 @@
 	waitingSince time.Time
 	// rejectedAt is the end of the last attempt with the verdict "not run".
 	rejectedAt time.Time
+	// latency is known since answeredAt, by request kind.
 	latency    map[string]time.Duration
+	answeredAt time.Time
 	failures   failureRate
 	// notice is the newest one of the VM, also if Instance is not known.
 	notice  instance.Report
@@ -196,7 +198,7 @@
 		f.hear(e.VM, r.Load.Notice)
 		e.setLoad(*r.Load)
 		if r.Load.Latency > 0 {
-			e.latency[r.Kind] = r.Load.Latency
+			e.latency[r.Kind], e.answeredAt = r.Load.Latency, now
 		}
 	} else {
 		e.sent = max(e.sent-1, 0)
--- a/internal/fleet/notice.go
+++ b/internal/fleet/notice.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"time"
 
 	"heathershed/internal/vm/instance"
@@ -11,6 +12,10 @@
 	// a limit is passed over after it had no room within it.
 	minLimitBackoff = 50 * time.Millisecond
 	maxLimitBackoff = 8 * time.Second
+	// limitedHalfLife is the time in which the known latency of an upstream
+	// that names a limit halves: only its answers show that the limit has
+	// ended, so it must be tried again soon.
+	limitedHalfLife = time.Second
 )
 
 // limitBackoff spaces the attempts of one node at an upstream that names a
@@ -58,9 +63,14 @@
 	if r.Version == 0 || r.Version < e.notice.Version {
 		return
 	}
-	leaving := r.Instance == e.notice.Instance && e.notice.Leaving
+	same := r.Instance == e.notice.Instance
+	leaving, ended := same && e.notice.Leaving, same && e.notice.Limited && !r.Limited
 	e.notice = r
 	e.notice.Leaving = r.Leaving || leaving
+	if ended { // what was learnt under the limit says nothing of the time after it
+		clear(e.latency)
+		e.failures = failureRate{}
+	}
 }
 
 // heard returns what the current instance has said of itself.
@@ -90,3 +100,17 @@
 	}
 	return max(wait, 0)
 }
+
+// expectedLatency returns the latency that is known for the kind of request, or
+// mean if none is.
+func (e *entry) expectedLatency(now time.Time, kind string, mean time.Duration) time.Duration {
+	latency := e.latency[kind]
+	if latency == 0 {
+		return mean
+	}
+	if e.heard().Limited {
+		age := now.Sub(e.answeredAt)
+		latency = time.Duration(float64(latency) * math.Exp2(-age.Seconds()/limitedHalfLife.Seconds()))
+	}
+	return latency
+}
--- a/internal/fleet/notice_test.go
+++ b/internal/fleet/notice_test.go
@@ -124,6 +124,46 @@
 	}
 }
 
+// TestLatencyUnderALimitIsForgottenAtItsEnd guards against an upstream that was
+// slow while it named a limit and gets no work after it.
+func TestLatencyUnderALimitIsForgottenAtItsEnd(t *testing.T) {
+	f := newFleet()
+	done := func(vm string, latency time.Duration, r instance.Report) {
+		exclude := map[string]string{"local": "remote", "remote": "local"}[vm]
+		c, _ := f.Pick(epoch, Query{Service: "span", Kind: "k", Exclude: []string{exclude}})
+		f.Done(epoch, c, Result{Verdict: contract.Ran, Kind: "k", Load: &Load{Slots: 10, Latency: latency, Notice: r}})
+	}
+	done("remote", 10*time.Millisecond, instance.Report{})
+	done("local", time.Second, limited("i-local", 5, 8))
+	f.hearFrom("local", instance.Report{Instance: "i-local", Version: 6})
+	if got := picks(f, epoch, 20); got["local"] < 10 {
+		t.Fatalf("%d of 20 calls sent to the upstream after the end of its limit, want most", got["local"])
+	}
+}
+
+// TestSlowUpstreamWithALimitIsTriedAgain guards against a limit that nobody
+// learns to have ended.
+func TestSlowUpstreamWithALimitIsTriedAgain(t *testing.T) {
+	f := newFleet()
+	c, _ := f.Pick(epoch, Query{Service: "span", Kind: "k", Exclude: []string{"local"}})
+	f.Done(epoch, c, Result{Verdict: contract.Ran, Kind: "k", Load: &Load{Slots: 10, Latency: 10 * time.Millisecond}})
+	f.hearFrom("local", limited("i-local", 5, 8))
+	now, tried := epoch, 0
+	for i := range 3000 { // half a minute
+		now = now.Add(10 * time.Millisecond)
+		c, _ := f.Pick(now, Query{Service: "span", Kind: "k", Random: uint64(i)})
+		load := Load{Slots: 10, Latency: 10 * time.Millisecond}
+		if c.VM == "local" {
+			tried++
+			load.Latency, load.Notice = time.Second, limited("i-local", 5, 8)
+		}
+		f.Done(now, c, Result{Verdict: contract.Ran, Kind: "k", Load: &load})
+	}
+	if tried < 3 || tried > 15 {
+		t.Fatalf("tried %d times in half a minute, want one each 2 to 10 s", tried)
+	}
+}
+
 // TestManyNodesComeNearALimit lets many nodes send to one upstream with a limit
 // beside one without, and counts what the limit would have turned away.
 func TestManyNodesComeNearALimit(t *testing.T) {
--- a/internal/vm/scheduler/controller.go
+++ b/internal/vm/scheduler/controller.go
@@ -230,13 +230,17 @@
 }
 
 // setLimit paces requests by the limit that the upstream names, or no longer.
+//
 // Where a limit begins, waiting requests are rejected: their senders did not know
 // of it and may know an upstream without one. Where it falls, those are rejected
-// that can't start in time any more.
+// that can't start in time any more. Where it ends, the latencies are forgotten,
+// which were those of an upstream in need.
 func (c *controller) setLimit(now time.Time, limited bool, limit float64) {
 	began, fell := !c.pacer.limited, limit < c.pacer.limit
 	c.pacer.setLimit(now, limited, limit)
 	switch {
+	case !limited && !began:
+		c.latencies.reset()
 	case limited && began:
 		c.rejectAll(contract.ReasonUpstreamLimit)
 	case limited && fell:
--- a/internal/vm/scheduler/pacer_test.go
+++ b/internal/vm/scheduler/pacer_test.go
@@ -189,8 +189,8 @@
 	}
 }
 
-// TestNothingOfAnEndedLimitIsLeft checks that queue and threshold are as before
-// the limit in the moment in which it ends.
+// TestNothingOfAnEndedLimitIsLeft checks that queue, threshold and latencies say
+// nothing of the limit in the moment in which it ends.
 func TestNothingOfAnEndedLimitIsLeft(t *testing.T) {
 	s := newLimitSim(2)
 	for range 500 {
@@ -201,8 +201,8 @@
 		t.Fatalf("threshold %d and %d queued under the limit, want both above 0", s.c.threshold(s.now), len(s.c.queue))
 	}
 	s.c.setLimit(s.now, false, 0)
-	if s.c.threshold(s.now) != 0 || len(s.c.queue) != 0 {
-		t.Errorf("threshold %d and %d queued after its end, want 0 and 0", s.c.threshold(s.now), len(s.c.queue))
+	if s.c.threshold(s.now) != 0 || len(s.c.queue) != 0 || s.c.latencies.mean() != 0 {
+		t.Errorf("threshold %d, %d queued, mean latency %v after its end; want none", s.c.threshold(s.now), len(s.c.queue), s.c.latencies.mean())
 	}
 	const more = 500
 	for range more {
