A run that began under a limit is not measured after its end

A run that began while its upstream named a limit, and ended after it, put its latency of the time of need into the empty mean: 118 ms instead of 20 in the test. Found by reading. TestRunThatBeganUnderALimitIsNotMeasuredAfterIt failed before.

--- a/internal/vm/scheduler/controller.go
+++ b/internal/vm/scheduler/controller.go
@@ -103,6 +103,9 @@
 	shedder        shedder
 	pacer          pacer
 	responsiveness responsiveness
+	// limitEnded is when the last limit ended. Runs from before it say nothing
+	// of the latency after it.
+	limitEnded time.Time
 }
 
 // updateThreshold lets the shedder move the threshold. It is called when a
@@ -203,7 +206,9 @@
 	c.inFlight--
 	if ran {
 		c.responsiveness.answered(now)
-		c.latencies.observe(e.Kind, now.Sub(e.since))
+		if !e.since.Before(c.limitEnded) {
+			c.latencies.observe(e.Kind, now.Sub(e.since))
+		}
 	}
 	c.dispatch(now)
 }
@@ -241,6 +246,7 @@
 	switch {
 	case !limited && !began:
 		c.latencies.reset()
+		c.limitEnded = now
 	case limited && began:
 		c.rejectAll(contract.ReasonUpstreamLimit)
 	case limited && fell:
--- a/internal/vm/scheduler/pacer_test.go
+++ b/internal/vm/scheduler/pacer_test.go
@@ -212,6 +212,19 @@
 	}
 }
 
+func TestRunThatBeganUnderALimitIsNotMeasuredAfterIt(t *testing.T) {
+	c := newController(4)
+	slow := mustOffer(t, c, at(0), request(1, 5000))
+	c.setLimit(at(10), true, 8)
+	c.setLimit(at(500), false, 0)
+	fast := mustOffer(t, c, at(500), request(1, 5000))
+	c.release(at(520), fast, true)
+	c.release(at(1000), slow, true)
+	if got := c.latencies.expected("k"); got != 20*time.Millisecond {
+		t.Errorf("latency %v after the limit, want 20 ms, that of the run that began after it", got)
+	}
+}
+
 // TestThresholdBringsDemandDownToTheLimit sheds requests below the threshold,
 // as the ingress does a little later.
 func TestThresholdBringsDemandDownToTheLimit(t *testing.T) {
