Reports of notices are ordered by start and change, and logged where heard

Found by reading the change as a whole: - The version of a report was the start of a node in microseconds plus its changes. After a restart with the clock set back, the start is only raised by one above the earlier one, so older reports with many changes would have won. Start and changes are compared one after the other now. - Other nodes went on to remind one that had already put in force what they had heard, at each of its heartbeats until its first answer, which a leaving upstream never gives. They remind only of what it lacks. - No line told what a node had heard of another one's upstream, though its choice hangs on it: "upstream notice".

Test: the new case of TestNewestNoticeOfAnInstanceIsKept (900 changes of an earlier start against one of the next: by the sum 901 against 3; the old code was not run with it).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -168,18 +168,19 @@
 	e.linked = up
 }
 
-// UpdateLoad records a load that was reported without a reply.
-func (f *Fleet) UpdateLoad(vm string, load Load) {
+// UpdateLoad records a load that was reported without a reply. It reports
+// whether the load's notice says something new.
+func (f *Fleet) UpdateLoad(vm string, load Load) (noticeChanged bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if e := f.byVM[vm]; e != nil {
 		e.setLoad(load)
 	}
+	return f.hear(vm, load.Notice)
 }
 
 // setLoad replaces the load by a newer one.
 func (e *entry) setLoad(load Load) {
-	e.hear(load.Notice)
 	e.load = load
 	e.sent = 0
 	if load.Slots > 0 {
@@ -187,15 +188,16 @@
 	}
 }
 
-// Done records the outcome of an attempt.
-func (f *Fleet) Done(now time.Time, c Choice, r Result) {
+// Done records the outcome of an attempt. It reports whether the notice in the
+// result's load says something new.
+func (f *Fleet) Done(now time.Time, c Choice, r Result) (noticeChanged bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := c.e
 	e.outstanding--
 	e.waitingSince = now
 	if r.Load != nil {
-		f.hear(e.VM, r.Load.Notice)
+		noticeChanged = f.hear(e.VM, r.Load.Notice)
 		e.setLoad(*r.Load)
 		if r.Load.Latency > 0 {
 			e.latency[r.Kind], e.answeredAt = r.Load.Latency, now
@@ -211,6 +213,7 @@
 	default:
 		e.failures.add(now, r.Verdict != contract.Ran)
 	}
+	return noticeChanged
 }
 
 // Counts returns the number of known VMs, and of those that can take requests.
--- a/internal/fleet/notice.go
+++ b/internal/fleet/notice.go
@@ -48,19 +48,24 @@
 	return instance.Report{}
 }
 
-// hear records a notice of the upstream of a VM, whose entry may have been
-// replaced since a request was sent there. The caller holds f.mu.
-func (f *Fleet) hear(vm string, r instance.Report) {
-	if e := f.byVM[vm]; e != nil {
-		e.hear(r)
+// hear records a notice of the upstream of a VM and reports whether it says
+// something new. The entry may not be the one that a request was sent to, if the
+// VM was forgotten meanwhile. The caller holds f.mu.
+func (f *Fleet) hear(vm string, r instance.Report) (changed bool) {
+	e := f.byVM[vm]
+	if e == nil {
+		return false
 	}
+	before := e.notice
+	e.hear(r)
+	return e.notice.Notice != before.Notice || e.notice.Instance != before.Instance && r.Restricts()
 }
 
 // hear records a notice. Notices of one VM arrive over several paths, so an
 // older one may arrive last. An instance that has said that it leaves has said
 // it for good.
 func (e *entry) hear(r instance.Report) {
-	if r.Version == 0 || r.Version < e.notice.Version {
+	if r.Incarnation == 0 || r.Older(e.notice) {
 		return
 	}
 	same := r.Instance == e.notice.Instance
@@ -73,12 +78,13 @@
 	}
 }
 
-// heard returns what the current instance has said of itself.
-func (e *entry) heard() instance.Notice {
+// heard returns what the current instance has said of itself, the zero value if
+// nothing is known.
+func (e *entry) heard() instance.Report {
 	if e.notice.Instance != e.Instance {
-		return instance.Notice{}
+		return instance.Report{}
 	}
-	return e.notice.Notice
+	return e.notice
 }
 
 // passedOver reports whether an upstream that names a limit is passed over
--- a/internal/fleet/notice_test.go
+++ b/internal/fleet/notice_test.go
@@ -9,11 +9,11 @@
 )
 
 func limited(id string, version uint64, limit float64) instance.Report {
-	return instance.Report{Instance: id, Version: version, Notice: instance.Notice{Limited: true, Limit: limit}}
+	return instance.Report{Instance: id, Incarnation: 1, Changes: version, Notice: instance.Notice{Limited: true, Limit: limit}}
 }
 
 func leaving(id string, version uint64) instance.Report {
-	return instance.Report{Instance: id, Version: version, Notice: instance.Notice{Leaving: true}}
+	return instance.Report{Instance: id, Incarnation: 1, Changes: version, Notice: instance.Notice{Leaving: true}}
 }
 
 func (f *Fleet) hearFrom(vm string, r instance.Report) { f.UpdateLoad(vm, Load{Slots: 10, Notice: r}) }
@@ -23,7 +23,7 @@
 		f.Put(Upstream{VM: "local", Service: "span", Datacentre: "west", Instance: id, Slots: 10, Ready: ready})
 	}
 	silent := func(id string, version uint64) instance.Report {
-		return instance.Report{Instance: id, Version: version}
+		return instance.Report{Instance: id, Incarnation: min(version, 1), Changes: version}
 	}
 	cases := []struct {
 		name string
@@ -62,6 +62,10 @@
 			put(f, "i-local", true)
 			f.Done(epoch, c, Result{Verdict: contract.Ran, Load: &Load{Notice: leaving("i-local", 5)}})
 		}, instance.Notice{Leaving: true}},
+		{"node restarted", func(f *Fleet) {
+			f.hearFrom("local", limited("i-local", 900, 8))
+			f.hearFrom("local", instance.Report{Instance: "i-local", Incarnation: 2, Changes: 1})
+		}, instance.Notice{}},
 		{"another instance", func(f *Fleet) { f.hearFrom("local", leaving("i-local", 5)); put(f, "i-next", true) }, instance.Notice{}},
 		{"notice of the instance before arrives late", func(f *Fleet) {
 			put(f, "i-next", true)
@@ -73,7 +77,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			f := newFleet()
 			tc.do(f)
-			if got := f.byVM["local"].heard(); got != tc.want {
+			if got := f.byVM["local"].heard().Notice; got != tc.want {
 				t.Fatalf("got %+v, want %+v", got, tc.want)
 			}
 		})
@@ -135,7 +139,7 @@
 	}
 	done("remote", 10*time.Millisecond, instance.Report{})
 	done("local", time.Second, limited("i-local", 5, 8))
-	f.hearFrom("local", instance.Report{Instance: "i-local", Version: 6})
+	f.hearFrom("local", instance.Report{Instance: "i-local", Incarnation: 1, Changes: 6})
 	if got := picks(f, epoch, 20); got["local"] < 10 {
 		t.Fatalf("%d of 20 calls sent to the upstream after the end of its limit, want most", got["local"])
 	}
--- a/internal/sidecar/notice.go
+++ b/internal/sidecar/notice.go
@@ -46,12 +46,8 @@
 // remind tells the node at the other end of a session what this node has heard
 // of its upstream, if that node has not heard it itself since its start.
 func (n *Node) remind(s *link.Session, f *linkpb.ControlFrame) {
-	own := f.GetLoad().GetNotice()
-	if own == nil || own.Version > 0 {
-		return
-	}
-	known := n.fleet.Notice(f.Vm)
-	if known.Instance != own.Instance || !known.Restricts() {
+	own, known := reportOf(f.GetLoad().GetNotice()), n.fleet.Notice(f.Vm)
+	if own.Instance == "" || own.Incarnation > 0 || own.Instance != known.Instance || !known.AddsTo(own.Notice) {
 		return
 	}
 	reminder := n.newFrame()
@@ -59,6 +55,13 @@
 	s.Send(reminder)
 }
 
+// logNotice logs that the upstream beside another node says something new.
+func (n *Node) logNotice(vm string) {
+	r := n.fleet.Notice(vm)
+	n.log.Info("upstream notice", "vm", vm, "instance", r.Instance, "limit", limitText(r.Notice), "said_leaving", r.Leaving,
+		"incarnation", r.Incarnation, "changes", r.Changes)
+}
+
 // report returns what is known of the current instance, or the zero value if
 // none is known.
 func (t *target) report() instance.Report {
@@ -67,7 +70,7 @@
 	state := t.tracker.State()
 	r := instance.Report{Notice: state.Notice, Instance: state.ID}
 	if state.Heard {
-		r.Version = t.n.incarnation.Load() + t.notices
+		r.Incarnation, r.Changes = t.n.incarnation.Load(), t.notices
 	}
 	return r
 }
@@ -78,7 +81,10 @@
 	if r.Instance == "" {
 		return nil
 	}
-	return &linkpb.UpstreamNotice{Instance: r.Instance, Version: r.Version, Limited: r.Limited, Limit: r.Limit, Leaving: r.Leaving}
+	return &linkpb.UpstreamNotice{
+		Instance: r.Instance, Incarnation: r.Incarnation, Changes: r.Changes,
+		Limited: r.Limited, Limit: r.Limit, Leaving: r.Leaving,
+	}
 }
 
 // reportOf returns the report in a message, which may be nil. Limits out of
@@ -87,7 +93,7 @@
 	if m == nil {
 		return instance.Report{}
 	}
-	r := instance.Report{Instance: m.Instance, Version: m.Version}
+	r := instance.Report{Instance: m.Instance, Incarnation: m.Incarnation, Changes: m.Changes}
 	r.Leaving = m.Leaving
 	if m.Limited && m.Limit >= 0 && m.Limit <= instance.MaxLimit {
 		r.Limited, r.Limit = true, m.Limit
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -268,7 +268,9 @@
 	n.peers.merge(f.Members...)
 	n.peers.sendNewer(s, f.Members)
 	if f.Load != nil {
-		n.fleet.UpdateLoad(f.Vm, loadOf(f.Load))
+		if n.fleet.UpdateLoad(f.Vm, loadOf(f.Load)) {
+			n.logNotice(f.Vm)
+		}
 	}
 	n.recall(f.Notice)
 	n.remind(s, f)
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -146,7 +146,9 @@
 		reply, suspected = n.links.Call(ctx, choice.VM, req, suspect)
 	}
 	now := time.Now()
-	n.fleet.Done(now, choice, resultOf(c, reply))
+	if n.fleet.Done(now, choice, resultOf(c, reply)) {
+		n.logNotice(choice.VM)
+	}
 	n.observeReply(now, c, reply)
 	return reply, suspected
 }
--- a/internal/vm/instance/notice.go
+++ b/internal/vm/instance/notice.go
@@ -32,16 +32,29 @@
 type Report struct {
 	Notice
 	Instance string
-	// Version grows with each change of the Notice, over all instances and
-	// processes of a VM. It is 0 in the report of the VM's own node if that has
-	// not read an answer of the instance since its start.
-	Version uint64
+	// Incarnation is that of the node beside the instance, and Changes counts
+	// what it has heard since its start. Incarnation is 0 in that node's own
+	// report if it has not read an answer of the instance since its start.
+	Incarnation, Changes uint64
+}
+
+// Older reports whether r is older than other, a report from the same VM.
+func (r Report) Older(other Report) bool {
+	if r.Incarnation != other.Incarnation {
+		return r.Incarnation < other.Incarnation
+	}
+	return r.Changes < other.Changes
 }
 
 // Restricts reports whether the instance takes fewer requests than its slots
 // allow.
 func (n Notice) Restricts() bool { return n.Limited || n.Leaving }
 
+// AddsTo reports whether n restricts the instance more than other does.
+func (n Notice) AddsTo(other Notice) bool {
+	return n.Leaving && !other.Leaving || n.stricter(other)
+}
+
 // stricter reports whether n allows fewer requests than other.
 func (n Notice) stricter(other Notice) bool {
 	return n.Limited && (!other.Limited || n.Limit < other.Limit)
