--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -100,7 +100,8 @@
 }
 
 // cost returns the expected latency in seconds, with the wait for the limit that
-// the upstream names, multiplied by the factors that apply to the upstream. mean stands in for an unknown latency.
+// the upstream names, multiplied by the factors that apply to the upstream. mean
+// stands in for an unknown latency.
 func (f *Fleet) cost(now time.Time, e *entry, kind string, mean time.Duration) float64 {
 	latency := e.expectedLatency(now, kind, mean)
 	busy := max(e.outstanding, e.load.InFlight+e.load.Waiting+e.sent)
--- a/internal/soak/notice.go
+++ b/internal/soak/notice.go
@@ -25,7 +25,8 @@
 	// in its answers alone that it leaves.
 	limitTime       = limitStable + limitWindow + 2*time.Second
 	saidLeavingTime = drainBound + 3*time.Second
-	// Under the limits of a whole run, a node is killed after limitKillAfter.
+	// allLimit is the limit that all upstreams name at once, in requests a
+	// second. A node is killed limitKillAfter later, for limitKillFor.
 	allLimit       = 5
 	limitKillAfter = 3 * time.Second
 	limitKillFor   = 500 * time.Millisecond
