Tests of limits and leaving are as strict as before, and need no luck

It now wants 50 at both together and, at each, 50 calls of 50 run at once, which depends on no choice. The tests of leaving called the node beside the upstream, so no node had passed such an answer on, which is what the promise is about. The other upstream now drains while the answer is passed on, so the choice is certain.

Mutations, one at a time: a limit that does not end, an answer's leaving ignored, another node's leaving ignored; each fails its test.

--- a/internal/sidecar/notice_test.go
+++ b/internal/sidecar/notice_test.go
@@ -151,6 +151,21 @@
 	return tc, near, far
 }
 
+// passOnAnswer lets near pass an answer of the upstream beside far[0] on to its
+// client: that beside far[1] drains meanwhile.
+func passOnAnswer(tc *testCluster, near *vm, far [2]*vm) {
+	tc.t.Helper()
+	usable := func() int { _, usable := near.node.fleet.Counts(); return usable }
+	far[1].heartbeat("far", "draining")
+	tc.waitFor("one upstream is left", func() bool { return usable() == 2 })
+	if a := near.request("GET", "/far/1", nil); a.seal != "seal-"+far[0].up.id {
+		tc.t.Fatalf("got status %d, seal %q, want the answer of the only upstream", a.status, a.seal)
+	}
+	left := usable()
+	far[1].heartbeat("far", "ready")
+	tc.waitFor("the other upstream is back", func() bool { return usable() == left+1 })
+}
+
 func TestUpstreamGetsNoMoreThanTheLimitItNames(t *testing.T) {
 	t.Parallel()
 	for _, limit := range []float64{0, 0.5, 8} {
@@ -199,8 +214,7 @@
 	tc, near, far := startTrio(t)
 	leaving := newTalker(far[0].up)
 	leaving.say(platformtest.HeaderLeaving, "1")
-	far[0].call(nil) // gets an answer that says so
-	tc.waitFor("another node has heard it", func() bool { return near.node.fleet.Notice(far[0].cfg.VM).Leaving })
+	passOnAnswer(tc, near, far)
 	time.Sleep(200 * time.Millisecond)
 	told := time.Now()
 	ask := func(when string) {
@@ -287,15 +301,18 @@
 	ended := time.Now()
 	keepAsking("/far/1", 1500*time.Millisecond, near, far[0]) // 2 a second: known after half a second
 	total := 0
-	for i, k := range talkers {
-		got := k.between(ended.Add(time.Second), ended.Add(1500*time.Millisecond))
-		total += got
-		if got < 5 { // two more than the limit would allow
-			t.Errorf("upstream %d got %d requests in half a second, 1 s after its limit had ended, want at least 5", i, got)
-		}
+	for _, k := range talkers {
+		total += k.between(ended.Add(time.Second), ended.Add(1500*time.Millisecond))
 	}
 	if total < 50 {
-		t.Errorf("both upstreams got %d requests in half a second, want at least 50", total)
+		t.Errorf("both upstreams got %d requests in half a second, 1 s after their limits had ended, want at least 50", total)
+	}
+	for i, m := range far {
+		for n := range 50 { // a limit of 2 a second would let 2 of them through
+			if r := m.call(nil); contract.Verdict(r.Verdict) != contract.Ran {
+				t.Fatalf("upstream %d, call %d: got %v %v, want each run at once", i, n, contract.Verdict(r.Verdict), contract.Reason(r.Reason))
+			}
+		}
 	}
 }
 
@@ -304,8 +321,7 @@
 	tc, near, far := startTrio(t)
 	leaving := newTalker(far[0].up)
 	leaving.say(platformtest.HeaderLeaving, "1")
-	far[0].call(nil) // gets an answer that says so
-	tc.waitFor("another node has heard it", func() bool { return near.node.fleet.Notice(far[0].cfg.VM).Leaving })
+	passOnAnswer(tc, near, far)
 	far[0].halt()
 	far[0].run()
 	tc.t.Cleanup(far[0].halt)
