Names: a notice is what an upstream says, a report what a node has heard

Two types were called Notice, and fields called notice held an instance.Report, so that e.notice.Notice had to be read twice. The platform returns an instance.Answer, and the fleet's fields and methods say report. Nothing else changes; the log line, the wire and the metrics keep their names.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -66,7 +66,7 @@
 	best.sent++
 	return Choice{
 		Upstream: best.Upstream,
-		Notice:   best.heard(),
+		Report:   best.heard(),
 		NoWait:   unlimited && best.heard().Limited,
 		e:        best,
 	}, true
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -41,8 +41,8 @@
 	// PacedUntil is when the limit that the upstream names has room for another
 	// request; zero if it has room now.
 	PacedUntil time.Time
-	// Notice is what the node beside the upstream has heard of the instance.
-	Notice instance.Report
+	// Report is what the node beside the upstream has heard of the instance.
+	Report instance.Report
 }
 
 // Query asks for the upstream of one attempt.
@@ -59,8 +59,8 @@
 // Choice is a chosen upstream. Each Choice must be passed to Done exactly once.
 type Choice struct {
 	Upstream
-	// Notice is what this node has heard of the instance.
-	Notice instance.Report
+	// Report is what this node has heard of the instance.
+	Report instance.Report
 	// NoWait says that the upstream names a limit and another one does not: the
 	// request is better sent there than kept waiting.
 	NoWait bool
@@ -93,8 +93,8 @@
 	latency    map[string]time.Duration
 	answeredAt time.Time
 	failures   failureRate
-	// notice is the newest one of the VM, also if Instance is not known.
-	notice  instance.Report
+	// report is the newest one of the VM, also if Instance is not known.
+	report  instance.Report
 	backoff limitBackoff
 }
 
@@ -119,7 +119,7 @@
 
 // Put adds or updates an upstream as announced by its node. The state of
 // another instance or service at the same VM is discarded, except for the link
-// and the notice: a node that has just started does not know its instance yet.
+// and the report: a node that has just started does not know its instance yet.
 func (f *Fleet) Put(u Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -127,7 +127,7 @@
 	if e == nil || e.Instance != u.Instance || e.Service != u.Service {
 		fresh := &entry{latency: make(map[string]time.Duration)}
 		if e != nil {
-			fresh.linked, fresh.notice = e.linked, e.notice
+			fresh.linked, fresh.report = e.linked, e.report
 		}
 		f.remove(u.VM)
 		e = fresh
@@ -169,14 +169,14 @@
 }
 
 // UpdateLoad records a load that was reported without a reply. It reports
-// whether the load's notice says something new.
-func (f *Fleet) UpdateLoad(vm string, load Load) (noticeChanged bool) {
+// whether the load's report is news.
+func (f *Fleet) UpdateLoad(vm string, load Load) (isNews bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if e := f.byVM[vm]; e != nil {
 		e.setLoad(load)
 	}
-	return f.hear(vm, load.Notice)
+	return f.hear(vm, load.Report)
 }
 
 // setLoad replaces the load by a newer one.
@@ -188,16 +188,16 @@
 	}
 }
 
-// Done records the outcome of an attempt. It reports whether the notice in the
-// result's load says something new.
-func (f *Fleet) Done(now time.Time, c Choice, r Result) (noticeChanged bool) {
+// Done records the outcome of an attempt. It reports whether the report in the
+// result's load is news.
+func (f *Fleet) Done(now time.Time, c Choice, r Result) (isNews bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := c.e
 	e.outstanding--
 	e.waitingSince = now
 	if r.Load != nil {
-		noticeChanged = f.hear(e.VM, r.Load.Notice)
+		isNews = f.hear(e.VM, r.Load.Report)
 		e.setLoad(*r.Load)
 		if r.Load.Latency > 0 {
 			e.latency[r.Kind], e.answeredAt = r.Load.Latency, now
@@ -213,7 +213,7 @@
 	default:
 		e.failures.add(now, r.Verdict != contract.Ran)
 	}
-	return noticeChanged
+	return isNews
 }
 
 // Counts returns the number of known VMs, and of those that can take requests.
--- a/internal/fleet/notice.go
+++ b/internal/fleet/notice.go
@@ -38,40 +38,40 @@
 	b.until = now.Add(time.Duration(spread * float64(b.wait)))
 }
 
-// Notice returns the newest notice of the upstream of a VM, or the zero value.
-func (f *Fleet) Notice(vm string) instance.Report {
+// Report returns the newest report on the upstream of a VM, or the zero value.
+func (f *Fleet) Report(vm string) instance.Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if e := f.byVM[vm]; e != nil {
-		return e.notice
+		return e.report
 	}
 	return instance.Report{}
 }
 
-// hear records a notice of the upstream of a VM and reports whether it says
-// something new. The entry may not be the one that a request was sent to, if the
-// VM was forgotten meanwhile. The caller holds f.mu.
-func (f *Fleet) hear(vm string, r instance.Report) (changed bool) {
+// hear records a report on the upstream of a VM and returns whether it is news.
+// The entry may not be the one that a request was sent to, if the VM was
+// forgotten meanwhile. The caller holds f.mu.
+func (f *Fleet) hear(vm string, r instance.Report) (isNews bool) {
 	e := f.byVM[vm]
 	if e == nil {
 		return false
 	}
-	before := e.notice
+	before := e.report
 	e.hear(r)
-	return e.notice.Notice != before.Notice || e.notice.Instance != before.Instance && r.Restricts()
+	return e.report.Notice != before.Notice || e.report.Instance != before.Instance && r.Restricts()
 }
 
-// hear records a notice. Notices of one VM arrive over several paths, so an
+// hear records a report. Reports on one VM arrive over several paths, so an
 // older one may arrive last. An instance that has said that it leaves has said
 // it for good.
 func (e *entry) hear(r instance.Report) {
-	if r.Incarnation == 0 || r.Older(e.notice) {
+	if r.Incarnation == 0 || r.Older(e.report) {
 		return
 	}
-	same := r.Instance == e.notice.Instance
-	leaving, ended := same && e.notice.Leaving, same && e.notice.Limited && !r.Limited
-	e.notice = r
-	e.notice.Leaving = r.Leaving || leaving
+	same := r.Instance == e.report.Instance
+	leaving, ended := same && e.report.Leaving, same && e.report.Limited && !r.Limited
+	e.report = r
+	e.report.Leaving = r.Leaving || leaving
 	if ended { // what was learnt under the limit says nothing of the time after it
 		clear(e.latency)
 		e.failures = failureRate{}
@@ -81,10 +81,10 @@
 // heard returns what the current instance has said of itself, the zero value if
 // nothing is known.
 func (e *entry) heard() instance.Report {
-	if e.notice.Instance != e.Instance {
+	if e.report.Instance != e.Instance {
 		return instance.Report{}
 	}
-	return e.notice
+	return e.report
 }
 
 // passedOver reports whether an upstream that names a limit is passed over
--- a/internal/fleet/notice_test.go
+++ b/internal/fleet/notice_test.go
@@ -16,7 +16,7 @@
 	return instance.Report{Instance: id, Incarnation: 1, Changes: version, Notice: instance.Notice{Leaving: true}}
 }
 
-func (f *Fleet) hearFrom(vm string, r instance.Report) { f.UpdateLoad(vm, Load{Slots: 10, Notice: r}) }
+func (f *Fleet) hearFrom(vm string, r instance.Report) { f.UpdateLoad(vm, Load{Slots: 10, Report: r}) }
 
 func TestNewestNoticeOfAnInstanceIsKept(t *testing.T) {
 	put := func(f *Fleet, id string, ready bool) {
@@ -60,7 +60,7 @@
 			c, _ := f.Pick(epoch, Query{Service: "span", Exclude: []string{"remote"}})
 			f.Remove("local")
 			put(f, "i-local", true)
-			f.Done(epoch, c, Result{Verdict: contract.Ran, Load: &Load{Notice: leaving("i-local", 5)}})
+			f.Done(epoch, c, Result{Verdict: contract.Ran, Load: &Load{Report: leaving("i-local", 5)}})
 		}, instance.Notice{Leaving: true}},
 		{"node restarted", func(f *Fleet) {
 			f.hearFrom("local", limited("i-local", 900, 8))
@@ -100,7 +100,7 @@
 	f := newFleet()
 	f.hearFrom("local", limited("i-local", 5, 8))
 	c, _ := f.Pick(epoch, Query{Service: "span", Kind: "k"})
-	if c.VM != "local" || !c.NoWait || c.Notice.Limit != 8 {
+	if c.VM != "local" || !c.NoWait || c.Report.Limit != 8 {
 		t.Fatalf("got %+v, want the limited upstream without a wait", c)
 	}
 	f.Done(epoch, c, Result{Verdict: contract.NotRun, Reason: contract.ReasonUpstreamLimit})
@@ -118,8 +118,8 @@
 
 func TestUpstreamWithRoomWithinItsLimitIsPreferred(t *testing.T) {
 	f := newFleet()
-	f.UpdateLoad("local", Load{Slots: 10, Notice: limited("i-local", 5, 8), PacedUntil: epoch.Add(time.Second)})
-	f.UpdateLoad("remote", Load{Slots: 10, Notice: limited("i-remote", 5, 8)})
+	f.UpdateLoad("local", Load{Slots: 10, Report: limited("i-local", 5, 8), PacedUntil: epoch.Add(time.Second)})
+	f.UpdateLoad("remote", Load{Slots: 10, Report: limited("i-remote", 5, 8)})
 	if c, _ := f.Pick(epoch, Query{Service: "span", Kind: "k"}); c.VM != "remote" {
 		t.Fatalf("got %q, want the one that has room now", c.VM)
 	}
@@ -135,7 +135,7 @@
 	done := func(vm string, latency time.Duration, r instance.Report) {
 		exclude := map[string]string{"local": "remote", "remote": "local"}[vm]
 		c, _ := f.Pick(epoch, Query{Service: "span", Kind: "k", Exclude: []string{exclude}})
-		f.Done(epoch, c, Result{Verdict: contract.Ran, Kind: "k", Load: &Load{Slots: 10, Latency: latency, Notice: r}})
+		f.Done(epoch, c, Result{Verdict: contract.Ran, Kind: "k", Load: &Load{Slots: 10, Latency: latency, Report: r}})
 	}
 	done("remote", 10*time.Millisecond, instance.Report{})
 	done("local", time.Second, limited("i-local", 5, 8))
@@ -159,7 +159,7 @@
 		load := Load{Slots: 10, Latency: 10 * time.Millisecond}
 		if c.VM == "local" {
 			tried++
-			load.Latency, load.Notice = time.Second, limited("i-local", 5, 8)
+			load.Latency, load.Report = time.Second, limited("i-local", 5, 8)
 		}
 		f.Done(now, c, Result{Verdict: contract.Ran, Kind: "k", Load: &load})
 	}
@@ -186,7 +186,7 @@
 		c, _ := f.Pick(now, Query{Service: "span", Kind: "k", Random: uint64(i)})
 		r := Result{Verdict: contract.Ran, Kind: "k", Load: &Load{Slots: 10, Latency: 100 * time.Millisecond}}
 		if c.VM == "local" {
-			r.Load.Notice = limited("i-local", 5, limit)
+			r.Load.Report = limited("i-local", 5, limit)
 			if tokens >= 1 {
 				tokens--
 				run++
--- a/internal/sidecar/notice.go
+++ b/internal/sidecar/notice.go
@@ -26,11 +26,11 @@
 	if out.Reason != contract.ReasonNone && out.Reason != contract.ReasonUpstreamRefused {
 		return
 	}
-	notice, err := platform.ReadNotice(answer)
+	a, err := platform.ReadNotice(answer)
 	if err != nil {
 		n.target.logInvalidNotice(id, err)
 	}
-	a := instance.Answer{Notice: notice.Notice, Instance: id, Sent: sent, KeepLimit: notice.KeepLimit}
+	a.Instance, a.Sent = id, sent
 	n.target.update("answer", func(tr *instance.Tracker) instance.Change { return tr.HandleAnswer(time.Now(), a) })
 }
 
@@ -46,7 +46,7 @@
 // remind tells the node at the other end of a session what this node has heard
 // of its upstream, if that node has not heard it itself since its start.
 func (n *Node) remind(s *link.Session, f *linkpb.ControlFrame) {
-	own, known := reportOf(f.GetLoad().GetNotice()), n.fleet.Notice(f.Vm)
+	own, known := reportOf(f.GetLoad().GetNotice()), n.fleet.Report(f.Vm)
 	if own.Instance == "" || own.Incarnation > 0 || own.Instance != known.Instance || !known.AddsTo(own.Notice) {
 		return
 	}
@@ -57,7 +57,7 @@
 
 // logNotice logs that the upstream beside another node says something new.
 func (n *Node) logNotice(vm string) {
-	r := n.fleet.Notice(vm)
+	r := n.fleet.Report(vm)
 	n.log.Info("upstream notice", "vm", vm, "instance", r.Instance, "limit", limitText(r.Notice), "said_leaving", r.Leaving,
 		"incarnation", r.Incarnation, "changes", r.Changes)
 }
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -188,8 +188,8 @@
 		Idempotent:  c.route.Idempotent,
 		NoWait:      choice.NoWait,
 	}
-	if choice.Notice.Restricts() {
-		req.Notice = noticeMessage(choice.Notice)
+	if choice.Report.Restricts() {
+		req.Notice = noticeMessage(choice.Report)
 	}
 	if !c.objectiveAt.IsZero() {
 		req.ObjectiveUs = max(c.objectiveAt.Sub(now).Microseconds(), 1)
@@ -220,6 +220,6 @@
 		Cold:     l.Cold,
 
 		PacedUntil: time.Now().Add(time.Duration(l.PaceWaitUs) * time.Microsecond),
-		Notice:     reportOf(l.Notice),
+		Report:     reportOf(l.Notice),
 	}
 }
