--- a/internal/fleet/notice.go
+++ b/internal/fleet/notice.go
@@ -108,7 +108,8 @@
 }
 
 // expectedLatency returns the latency that is known for the kind of request, or
-// mean if none is.
+// mean if none is. While the upstream names a limit, a known latency halves with
+// each limitedHalfLife since the last answer.
 func (e *entry) expectedLatency(now time.Time, kind string, mean time.Duration) time.Duration {
 	latency := e.latency[kind]
 	if latency == 0 {
--- a/internal/sidecar/notice.go
+++ b/internal/sidecar/notice.go
@@ -14,11 +14,11 @@
 	"heathershed/platform"
 )
 
-// The node beside an upstream owns what the upstream says of itself in its
-// answers: it keeps the limit, and closes when the upstream leaves. Other nodes
-// hear of it in replies and heartbeats. They tell it again, with each call and
-// in answer to a heartbeat, for as long as the owner has not read an answer
-// since its start.
+// The node beside an upstream enforces what the upstream says of itself in its
+// answers: it paces requests by the limit, and closes the scheduler when the
+// upstream leaves. Other nodes receive it in replies and heartbeats. While the
+// node beside the upstream has not read an answer since its start, they send it
+// back, with each call and in reply to a heartbeat.
 
 // observeNotice records what a complete answer of an instance, to a request that
 // was sent at sent, says about the instance.
--- a/internal/vm/instance/notice.go
+++ b/internal/vm/instance/notice.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// MaxLimit bounds the limits that are kept, in requests a second. A higher one
-// binds nobody.
+// MaxLimit bounds the limits that are kept, in requests a second. A node can't
+// send more than that, so higher ones are reduced to it.
 const MaxLimit = 1e6
 
 // Notice is what an instance says of itself in its answers. The zero Notice
--- a/internal/vm/scheduler/controller.go
+++ b/internal/vm/scheduler/controller.go
@@ -132,7 +132,7 @@
 		return nil, &Refusal{Reason: contract.ReasonUpstreamSilent, RetryAfter: probeInterval}
 	}
 	paced := c.pacer.wait(now, len(c.queue)+1)
-	if c.pacer.bars(&r) || r.NoWait && paced > 0 {
+	if c.pacer.excludes(&r) || r.NoWait && paced > 0 {
 		return nil, &Refusal{Reason: contract.ReasonUpstreamLimit, RetryAfter: paced}
 	}
 	if !r.NoWait {
@@ -238,8 +238,8 @@
 //
 // Where a limit begins, waiting requests are rejected: their senders did not know
 // of it and may know an upstream without one. Where it falls, those are rejected
-// that can't start in time any more. Where it ends, the latencies are forgotten,
-// which were those of an upstream in need.
+// that can't start in time any more. Where it ends, the latencies measured under it
+// are forgotten.
 func (c *controller) setLimit(now time.Time, limited bool, limit float64) {
 	began, fell := !c.pacer.limited, limit < c.pacer.limit
 	c.pacer.setLimit(now, limited, limit)
@@ -261,7 +261,7 @@
 	c.queue = nil
 	for _, e := range waiting {
 		start := c.pacer.wait(now, len(c.queue)+1)
-		if c.pacer.bars(&e.Request) || now.Add(start).After(c.latestStart(e)) {
+		if c.pacer.excludes(&e.Request) || now.Add(start).After(c.latestStart(e)) {
 			e.state = ended
 			e.decision <- &Refusal{Reason: contract.ReasonUpstreamLimit, RetryAfter: start}
 			continue
--- a/internal/vm/scheduler/pacer.go
+++ b/internal/vm/scheduler/pacer.go
@@ -7,20 +7,21 @@
 )
 
 const (
-	// burstTime is how long unused starts are saved up; one start is always.
+	// The bucket holds one start, and as many as the rate gives in burstTime.
 	burstTime = 250 * time.Millisecond
-	// minRate is the lowest rate of starts per second. That a limit has ended
-	// is known only from an answer, so some requests go out under any limit.
+	// minRate is the lowest rate of starts per second, also under a lower
+	// limit: only an answer shows that a limit has ended.
 	minRate = 0.5
-	// tokenTolerance hides rounding errors of the bucket.
+	// tokenTolerance is the rounding error of the bucket that is accepted, in
+	// starts.
 	tokenTolerance = 1e-9
-	// While a limit lasts, a queue of queueTarget requests is normal. Beyond
-	// that the demand is brought below the limit, by drainShare of it where the
-	// queue is twice as long.
+	// While a limit lasts, the threshold aims at targetDemand of it. With more
+	// than queueTarget requests in the queue it aims lower, so that the queue
+	// drains: by drainShare of the limit from twice queueTarget on.
 	queueTarget = 2
 	drainShare  = 0.25
 	// maxLevelsPerRequest bounds how far one request raises the threshold, in
-	// levels. Under high limits it is gain levels divided by the rate.
+	// priority levels.
 	maxLevelsPerRequest = 120.0
 )
 
@@ -63,9 +64,9 @@
 	}
 }
 
-// bars reports whether a request can't be sent while the limit lasts: under a
+// excludes reports whether a request can't be sent while the limit lasts: under a
 // limit of 0 only idempotent requests are sent, to learn whether it has ended.
-func (p *pacer) bars(r *Request) bool { return p.limited && p.limit == 0 && !r.Idempotent }
+func (p *pacer) excludes(r *Request) bool { return p.limited && p.limit == 0 && !r.Idempotent }
 
 // ready reports whether a request may start.
 func (p *pacer) ready(now time.Time) bool { return p.wait(now, 1) == 0 }
@@ -91,7 +92,8 @@
 	return seconds(missing/p.rate) + time.Microsecond // rounded up
 }
 
-// levelsPerRequest is how far one request raises the threshold.
+// levelsPerRequest is how far one request raises the threshold, in priority
+// levels: demand above the rate by as much as the rate raises it by gain a second.
 func (p *pacer) levelsPerRequest() float64 { return min(gain/p.rate, maxLevelsPerRequest) }
 
 // offered records a request that only this upstream can take, while queued
