A refusal for a limit says which limit, and how old it is

"request failed" with reason upstream-limit had the detail "no room", so the value and the age of what had decided it were found only by searching the receiving node's log. The detail now reads "limit of 2 a second, named 12 ms ago". TestRefusalForALimitTellsTheLimitAndItsAge failed before.

--- a/internal/sidecar/notice.go
+++ b/internal/sidecar/notice.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"fmt"
 	"strconv"
 	"time"
 
@@ -101,6 +102,16 @@
 	return r
 }
 
+// refusalDetail says what the scheduler lacked for a request: for a limit its
+// value and how long ago the upstream named it last.
+func (n *Node) refusalDetail(reason contract.Reason) string {
+	state := n.target.state()
+	if reason != contract.ReasonUpstreamLimit || !state.Notice.Limited {
+		return "no room"
+	}
+	return fmt.Sprintf("limit of %s a second, named %d ms ago", limitText(state.Notice), age(state.LimitAt).Milliseconds())
+}
+
 // limitText returns the limit in requests a second, as it is logged, or the
 // empty string if there is none.
 func limitText(n instance.Notice) string {
--- a/internal/sidecar/notice_test.go
+++ b/internal/sidecar/notice_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -357,3 +358,13 @@
 		t.Errorf("sender that knows the limit: got %v %v, want it run after a wait", contract.Verdict(r.Verdict), contract.Reason(r.Reason))
 	}
 }
+
+func TestRefusalForALimitTellsTheLimitAndItsAge(t *testing.T) {
+	t.Parallel()
+	_, _, far := startPair(t)
+	newTalker(far.up).say(platformtest.HeaderLimit, "2")
+	far.call(nil) // names the limit
+	if r := far.call(nil); !strings.Contains(r.Detail, "limit of 2 a second") || !strings.Contains(r.Detail, "ms ago") {
+		t.Errorf("got detail %q, want the limit and how long ago it was named", r.Detail)
+	}
+}
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -50,7 +50,7 @@
 	permit, refusal := n.sched.Acquire(ctx, now, schedulerRequest(req, now, deadline))
 	if refusal != nil {
 		n.metrics.countRejected(refusal.Reason)
-		return outcome.RetryAfterReply(refusal.RetryAfter, refusal.Reason, "no room")
+		return outcome.RetryAfterReply(refusal.RetryAfter, refusal.Reason, n.refusalDetail(refusal.Reason))
 	}
 	started := time.Now()
 	reply := n.run(ctx, req, deadline)
