A refusal without a route says by which version, and how old that knowledge is

A 404 did not tell by which version it was given, and a node that had heard nothing for ten seconds logged the same as one whose store had just confirmed its version. Each active configuration now carries when it was last known to be the newest and by whom: in the detail of the refusal, in 'configuration in force', and as configuration_age_seconds. No decision changes.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -133,7 +134,7 @@
 	path, _, _ := strings.Cut(c.uri, "?")
 	route, ok := table.Match(c.host, path)
 	if !ok {
-		return outcome.NotRunReply(contract.ReasonUnknownKind, "no route of this host and path")
+		return outcome.NotRunReply(contract.ReasonUnknownKind, n.noRouteDetail(table))
 	}
 	if limit := table.Limits.BodyBytes; limit > 0 && len(rc.Request.Body()) > limit {
 		return outcome.NotRunReply(contract.ReasonTooLarge, "request body over the limit")
@@ -143,6 +144,12 @@
 	return nil
 }
 
+// noRouteDetail says by which version a request has no route, and how old the
+// knowledge is that it is the newest.
+func (n *Node) noRouteDetail(table *configuration) string {
+	return fmt.Sprintf("no route of this host and path in version %d, %s", table.Version, n.freshnessText(time.Now()))
+}
+
 // findOrigin distinguishes a client's request from a nested call of the local
 // upstream, and sets the priority level and the deadlines accordingly.
 func (n *Node) findOrigin(now time.Time, c *call, left time.Duration) {
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"heathershed/internal/freshness"
 	store "heathershed/internal/platform"
 	"heathershed/internal/wait"
 	"heathershed/platform"
@@ -84,8 +86,12 @@
 	if err != nil {
 		return 0, err
 	}
+	confirmed := true
 	for _, o := range objects {
-		n.adoptObject(o)
+		confirmed = n.adoptObject("read", o) && confirmed
+	}
+	if confirmed && !stale {
+		n.freshness.Confirm(freshness.Confirmation{At: began, By: "read"})
 	}
 	return revision, nil
 }
@@ -103,38 +109,56 @@
 	if err != nil {
 		return from, err
 	}
+	confirmed := revision > 0
 	for _, e := range events {
 		if !e.Gone {
-			n.adoptObject(e.Object)
+			confirmed = n.adoptObject("watch", e.Object) && confirmed
 		}
 	}
+	if confirmed {
+		n.freshness.Confirm(freshness.Confirmation{At: time.Now(), By: "watch"})
+	}
 	return revision, nil
 }
 
-func (n *Node) adoptObject(o platform.Object) {
-	if o.Name == platform.ConfigName && len(o.Spec) > 0 {
-		n.adopt("store", o.Spec)
-	}
+// adoptObject is adopt for the object that holds the configuration, and true
+// for every other object.
+func (n *Node) adoptObject(by string, o platform.Object) bool {
+	return o.Name != platform.ConfigName || len(o.Spec) == 0 || n.adopt(by, o.Spec)
 }
 
-// adopt activates a configuration that is newer than the active one. A
-// configuration that can't be decoded is logged, and the active one stays.
-func (n *Node) adopt(from string, raw []byte) {
+// adopt activates a configuration unless the active one is as new. by says what
+// brought it: a read, a watch or the VM of another node. A configuration that
+// can't be decoded is logged, and the active one stays; adopt then returns
+// false.
+func (n *Node) adopt(by string, raw []byte) bool {
 	table, err := platform.DecodeConfig(raw)
 	if err != nil {
-		n.log.Error("configuration refused", "from", from, "err", err)
-		return
+		n.log.Error("configuration refused", "by", by, "err", err)
+		return false
 	}
 	next := &configuration{Table: table, raw: raw}
 	for {
 		old := n.table.Load()
 		if old != nil && old.Version >= table.Version {
-			return
+			return true
 		}
 		if n.table.CompareAndSwap(old, next) {
 			break
 		}
 	}
-	n.log.Info("configuration in force", "version", table.Version, "from", from, "routes", table.NumRoutes())
+	n.log.Info("configuration in force", "version", table.Version, "by", by, "routes", table.NumRoutes(),
+		"before", n.freshnessText(time.Now()))
 	n.broadcast()
+	return true
+}
+
+// freshnessText describes for logs how old the knowledge is that the active
+// configuration is the newest.
+func (n *Node) freshnessText(now time.Time) string {
+	c, ok := n.freshness.Newest()
+	if !ok {
+		return "never confirmed"
+	}
+	return fmt.Sprintf("confirmed %d ms ago by %s", c.Age(now).Milliseconds(), c.By)
 }
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -34,7 +34,7 @@
 	service       tally.Histogram
 	store         map[storeOutcome]tally.Counter
 
-	inFlight, waiting, slots, threshold, version, upstreams, limited, limit tally.Gauge
+	inFlight, waiting, slots, threshold, version, age, upstreams, limited, limit tally.Gauge
 }
 
 // storeOutcome identifies a counter of calls to the object API: the call, and
@@ -58,6 +58,7 @@
 		slots:         scope.Gauge("door_slots"),
 		threshold:     scope.Gauge("door_threshold"),
 		version:       scope.Gauge("configuration_version"),
+		age:           scope.Gauge("configuration_age_seconds"),
 		upstreams:     scope.Gauge("upstreams_usable"),
 		limited:       scope.Gauge("upstream_limited"),
 		limit:         scope.Gauge("upstream_limit"),
@@ -121,6 +122,9 @@
 		if t := n.table.Load(); t != nil {
 			n.metrics.version.Update(float64(t.Version))
 		}
+		if c, ok := n.freshness.Newest(); ok {
+			n.metrics.age.Update(c.Age(time.Now()).Seconds())
+		}
 		_, usable := n.fleet.Counts()
 		n.metrics.upstreams.Update(float64(usable))
 		n.metrics.updateNotice(n.target.state().Notice)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -26,6 +26,7 @@
 
 	"heathershed/internal/endpoint"
 	"heathershed/internal/fleet"
+	"heathershed/internal/freshness"
 	"heathershed/internal/ingress"
 	"heathershed/internal/link"
 	"heathershed/internal/routes"
@@ -64,6 +65,7 @@
 	started     time.Time
 
 	table       atomic.Pointer[configuration]
+	freshness   freshness.Tracker // of the active configuration
 	split       routes.Splitter
 	fleet       *fleet.Fleet
 	sched       *scheduler.Scheduler
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -276,7 +276,7 @@
 	n.remind(s, f)
 	for _, d := range f.Documents {
 		if d.Name == documentRoutes {
-			n.adopt("link", d.Value)
+			n.adopt(f.Vm, d.Value)
 		}
 	}
 	if len(f.FetchDocuments) > 0 {
