Stand-in returns from an older copy; failing tests of changes that are not in force

The object API's stand-in takes writes and revisions back on demand, counts that in Store-Era, ends blocked watches, and answers 410 to a watch from a revision that it no longer has.

--- a/cmd/heathershed-platform/main.go
+++ b/cmd/heathershed-platform/main.go
@@ -2,7 +2,8 @@
 // tests and trials. It supports versions, conditional updates, watches and
 // fault injection, and keeps everything in memory.
 //
-// POST /faults sets the faults and GET /counts returns the number of calls.
+// POST /faults sets the faults, POST /restore returns to an older copy of the
+// content, and GET /counts returns the number of calls.
 package main
 
 import (
--- a/internal/platform/fake/calls.go
+++ b/internal/platform/fake/calls.go
@@ -124,10 +124,15 @@
 	if err := s.enter(ctx, &s.counts.Watch); err != nil {
 		return nil, 0, err
 	}
+	began := s.Era()
 	for {
 		if err := s.lock(); err != nil {
 			return nil, 0, err
 		}
+		if s.era != began {
+			s.mu.Unlock()
+			return nil, 0, errors.Wrap(platform.ErrUnavailable, "restored from a copy")
+		}
 		events, next, err := s.poll(prefix, after)
 		after = max(after, next) // this watch never returns the events it skipped
 		changed := s.changed
@@ -158,7 +163,7 @@
 
 // poll returns the current result of a watch.
 func (s *Store) poll(prefix string, after platform.Version) ([]platform.Event, platform.Version, error) {
-	if after < s.state.compacted {
+	if after < s.state.compacted || after > s.state.version {
 		return nil, 0, platform.ErrCompacted
 	}
 	events := s.state.since(prefix, after)
--- a/internal/platform/fake/fake.go
+++ b/internal/platform/fake/fake.go
@@ -31,6 +31,7 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	state   *state
+	era     uint64 // number of restores
 	faults  Faults
 	counts  Counts
 	pending []delayed
@@ -119,6 +120,25 @@
 	s.wake()
 }
 
+// Restore returns to a copy of the content that is age old: later writes are
+// lost, their versions are assigned again, and the era rises by one. Blocked
+// watches fail, and watches from a version that the copy lacks must list again.
+func (s *Store) Restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.rewind(s.now().Add(-age))
+	s.pending = nil
+	s.era++
+	s.wake()
+}
+
+// Era returns the number of restores so far.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // ApplyDueWrites applies the delayed writes that are due according to the
 // clock. Every other call does so, too; a server calls it periodically so that
 // blocked watches see the changes.
--- a/internal/platform/fake/state.go
+++ b/internal/platform/fake/state.go
@@ -121,6 +121,18 @@
 	return c.object
 }
 
+// rewind returns to the content at time t. Versions above that of the content
+// are assigned again.
+func (s *state) rewind(t time.Time) {
+	for key, h := range s.history {
+		i := sort.Search(len(h), func(i int) bool { return h[i].at.After(t) })
+		s.history[key] = h[:i:i]
+	}
+	s.version = s.versionAt(t)
+	i := sort.Search(len(s.log), func(i int) bool { return s.log[i].at.After(t) })
+	s.log = s.log[:i:i]
+}
+
 // compact discards the log up to and including version v.
 func (s *state) compact(v platform.Version) {
 	i := sort.Search(len(s.log), func(i int) bool { return s.log[i].object.Version > v })
--- a/internal/platform/standin/protocol_test.go
+++ b/internal/platform/standin/protocol_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 	store "heathershed/internal/platform"
 	"heathershed/internal/platform/fake"
 	"heathershed/internal/platform/standin"
+	"heathershed/internal/platform/wire"
 	"heathershed/platform"
 )
 
@@ -158,3 +161,65 @@
 		t.Fatalf("got %v, want ErrUnavailable for a write that was never sent", err)
 	}
 }
+
+func TestRestoreTakesBackWritesAndRevisions(t *testing.T) {
+	c, f := open(t)
+	kept := put(t, c, "kept", 0, `{"n":1}`)
+	const age = 200 * time.Millisecond
+	time.Sleep(2 * age)
+	put(t, c, "kept", kept.Revision, `{"n":2}`)
+	lost := put(t, c, "lost", 0, "1")
+	ended := make(chan error, 1)
+	go func() {
+		_, _, err := c.Watch(t.Context(), kind, lost.Revision, 5*time.Second)
+		ended <- err
+	}()
+	for f.Counts().Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.Restore(age)
+	if err := <-ended; !errors.Is(err, store.ErrUnavailable) {
+		t.Errorf("blocked watch: got %v, want ErrUnavailable", err)
+	}
+	if _, _, err := c.Watch(t.Context(), kind, lost.Revision, time.Second); !errors.Is(err, store.ErrCompacted) {
+		t.Errorf("watch from a lost revision: got %v, want ErrCompacted", err)
+	}
+	got, err := c.Get(t.Context(), kind, "kept")
+	if err != nil || string(got.Spec) != `{"n":1}` || got.Revision != kept.Revision {
+		t.Errorf("object written before the copy: got %+v, %v", got, err)
+	}
+	if _, err := c.Get(t.Context(), kind, "lost"); !errors.Is(err, store.ErrNotFound) {
+		t.Errorf("object written after the copy: got %v, want ErrNotFound", err)
+	}
+	if again := put(t, c, "other", 0, "1"); again.Revision > lost.Revision {
+		t.Errorf("revision after the restore: got %d, want one that was assigned before, at most %d", again.Revision, lost.Revision)
+	}
+}
+
+func TestEachResponseNamesTheEra(t *testing.T) {
+	f := fake.New()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := standin.New(f)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
+	for _, want := range []string{"0", "1", "2"} {
+		for _, path := range []string{"/v1/objects/" + kind, "/v1/objects/" + kind + "/missing"} {
+			resp, err := http.Get("http://" + l.Addr().String() + path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if got := resp.Header.Get(platform.HeaderEra); got != want {
+				t.Errorf("%s: got era %q, want %q", path, got, want)
+			}
+		}
+		resp, err := http.Post("http://"+l.Addr().String()+wire.PathRestore, "application/json", strings.NewReader(`{"age_ns":0}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+	}
+}
--- a/internal/platform/standin/standin.go
+++ b/internal/platform/standin/standin.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"strconv"
 	"strings"
 	"time"
 
@@ -76,9 +77,20 @@
 	return s.http.ShutdownWithContext(ctx)
 }
 
+// handle serves one call. The era in the response is that of before the call,
+// so that no content of before a restore passes for one of after it.
 func (s *Server) handle(c *fasthttp.RequestCtx) {
+	era := strconv.FormatUint(s.store.Era(), 10)
+	s.serve(c)
+	c.Response.Header.Set(platform.HeaderEra, era)
+}
+
+func (s *Server) serve(c *fasthttp.RequestCtx) {
 	path := string(c.URI().PathOriginal())
 	switch path {
+	case wire.PathRestore:
+		s.restore(c)
+		return
 	case wire.PathFaults:
 		s.faults(c)
 		return
@@ -278,6 +290,17 @@
 	writeJSON(c, s.store.Faults())
 }
 
+// restore returns to an older copy of the content.
+func (s *Server) restore(c *fasthttp.RequestCtx) {
+	var r wire.Restore
+	if err := json.Unmarshal(c.PostBody(), &r); err != nil || r.Age < 0 {
+		c.Error("want {\"age_ns\": a number of 0 or more}", fasthttp.StatusBadRequest)
+		return
+	}
+	s.store.Restore(r.Age)
+	writeJSON(c, r)
+}
+
 // writeError answers with an error of the store in the same way as the
 // platform. An error that is not an answer of the platform closes the
 // connection.
--- a/internal/platform/wire/wire.go
+++ b/internal/platform/wire/wire.go
@@ -8,7 +8,15 @@
 const (
 	PathFaults = "/faults"
 	PathCounts = "/counts"
+	// PathRestore takes a Restore by POST.
+	PathRestore = "/restore"
 )
 
+// Restore asks the stand-in to return to an older copy of its content.
+type Restore struct {
+	// Age is the age of the copy.
+	Age time.Duration `json:"age_ns"`
+}
+
 // MaxWait bounds how long a watch blocks.
 const MaxWait = 30 * time.Second
--- a/internal/sidecar/cluster_test.go
+++ b/internal/sidecar/cluster_test.go
@@ -133,6 +133,8 @@
 	stop context.CancelFunc
 	done chan error
 	seq  int
+	// storeProxy is on the way to the object API; nil if there is none.
+	storeProxy *soak.Proxy
 }
 
 var vmNumber atomic.Int32
@@ -158,14 +160,34 @@
 	tc.t.Helper()
 	m := tc.prepare(service, "west")
 	m.cfg.Announce = strings.Replace(m.cfg.Link, ":7002", ":7012", 1)
-	proxy, err := soak.NewProxy(m.cfg.Announce, m.cfg.Link)
+	proxy := tc.newProxy(m.cfg.Announce, m.cfg.Link)
+	m.run()
+	tc.t.Cleanup(m.halt)
+	return m, proxy
+}
+
+// startBehindProxies is startWithProxy with a proxy on the node's way to the
+// object API as well.
+func (tc *testCluster) startBehindProxies(service string) (*vm, *soak.Proxy) {
+	tc.t.Helper()
+	m := tc.prepare(service, "west")
+	m.cfg.Announce = strings.Replace(m.cfg.Link, ":7002", ":7012", 1)
+	links := tc.newProxy(m.cfg.Announce, m.cfg.Link)
+	m.cfg.Platform = strings.Replace(m.cfg.Link, ":7002", ":7400", 1)
+	m.storeProxy = tc.newProxy(m.cfg.Platform, tc.address)
+	m.run()
+	tc.t.Cleanup(m.halt)
+	return m, links
+}
+
+func (tc *testCluster) newProxy(address, target string) *soak.Proxy {
+	tc.t.Helper()
+	proxy, err := soak.NewProxy(address, target)
 	if err != nil {
 		tc.t.Fatal(err)
 	}
 	tc.t.Cleanup(proxy.Close)
-	m.run()
-	tc.t.Cleanup(m.halt)
-	return m, proxy
+	return proxy
 }
 
 // prepare starts an upstream and returns a node that is not running yet.
--- a/internal/sidecar/configuration_test.go
+++ b/internal/sidecar/configuration_test.go
@@ -1,9 +1,26 @@
 package sidecar
 
 import (
+	"fmt"
 	"net/http"
 	"regexp"
 	"testing"
+	"time"
+
+	"heathershed/internal/soak"
+	"heathershed/platform"
+)
+
+const (
+	// changeBound is the time within which a change must be active at every
+	// node.
+	changeBound = 2 * time.Second
+	// inTouchAfter is the time after the end of a fault from which changeBound
+	// applies.
+	inTouchAfter = 3 * time.Second
+	// clustersPerFault is the number of clusters that are given the same fault,
+	// since a cluster may hear of a change by chance.
+	clustersPerFault = 4
 )
 
 func TestRefusalWithoutARouteTellsVersionAndAge(t *testing.T) {
@@ -18,3 +35,127 @@
 		t.Errorf("got status %d and %q, want 404 and %q", got.status, got.body, want)
 	}
 }
+
+// storeCluster is a cluster whose nodes reach the object API over proxies.
+type storeCluster struct {
+	*testCluster
+	vms    []*vm
+	stores []*soak.Proxy
+	links  []*soak.Proxy
+}
+
+// newStoreCluster starts nodes of one service in one data centre and waits
+// until all of them have the first configuration and links.
+func newStoreCluster(t *testing.T, nodes int) *storeCluster {
+	t.Helper()
+	c := &storeCluster{testCluster: newTestCluster(t)}
+	c.configure(1, "s")
+	for range nodes {
+		m, links := c.startBehindProxies("s")
+		c.vms, c.links, c.stores = append(c.vms, m), append(c.links, links), append(c.stores, m.storeProxy)
+	}
+	for _, m := range c.vms {
+		c.waitFor("ready", m.ready)
+		m.heartbeat("s", "ready")
+	}
+	c.waitFor("all links are up", func() bool { return nodes == 1 || allLinked(c.vms) })
+	return c
+}
+
+// silence makes all open connections silent for good. New ones work.
+func (c *storeCluster) silence() {
+	for i := range c.vms {
+		c.stores[i].BlackholeAll()
+		c.links[i].BlackholeAll()
+	}
+}
+
+// checkChange writes the next version, which adds a route, and checks that
+// every node knows the route in time.
+func (c *storeCluster) checkChange(version int) {
+	c.t.Helper()
+	c.configure(version, "s", "added")
+	accepted := time.Now()
+	c.checkKnown(version, accepted)
+}
+
+// checkKnown checks that every node knows the added route changeBound after it
+// was accepted.
+func (c *storeCluster) checkKnown(version int, accepted time.Time) {
+	c.t.Helper()
+	for _, m := range c.vms {
+		for m.request("GET", "/added/x", nil).status == http.StatusNotFound {
+			if time.Since(accepted) > changeBound {
+				c.t.Errorf("%s: version %d is not active %v after it was accepted", m.cfg.VM, version, changeBound)
+				break
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+// inClusters runs a test on several clusters at the same time.
+func inClusters(t *testing.T, nodes int, test func(t *testing.T, c *storeCluster)) {
+	t.Helper()
+	for i := range clustersPerFault {
+		t.Run(fmt.Sprintf("nodes=%d/cluster=%d", nodes, i), func(t *testing.T) {
+			t.Parallel()
+			test(t, newStoreCluster(t, nodes))
+		})
+	}
+}
+
+func TestChangeIsActiveAfterAllConnectionsWentSilent(t *testing.T) {
+	t.Parallel()
+	for _, nodes := range []int{1, 3} {
+		inClusters(t, nodes, func(t *testing.T, c *storeCluster) {
+			c.silence()
+			time.Sleep(inTouchAfter)
+			c.checkChange(2)
+		})
+	}
+}
+
+func TestChangeIsActiveWhereWatchersCannotReachTheStore(t *testing.T) {
+	t.Parallel()
+	inClusters(t, 3, func(t *testing.T, c *storeCluster) {
+		time.Sleep(inTouchAfter) // until the third node no longer watches
+		for i, m := range c.vms {
+			if m.node.peers.watches() {
+				c.stores[i].SetMode(soak.ModeReset)
+			}
+		}
+		c.checkChange(2)
+	})
+}
+
+func TestChangeIsActiveThoughItsRevisionWasAssignedBefore(t *testing.T) {
+	t.Parallel()
+	const copyAge = 400 * time.Millisecond
+	inClusters(t, 1, func(t *testing.T, c *storeCluster) {
+		time.Sleep(2 * copyAge)
+		c.writeOther(1, 5)
+		c.configure(2, "s")
+		time.Sleep(copyAge / 4) // the watch returns, and continues from the new revision
+		c.stores[0].SetMode(soak.ModeReset)
+		c.store.Restore(copyAge)
+		c.configure(3, "s", "added")
+		c.writeOther(2, 20)
+		c.stores[0].SetMode(soak.ModePass)
+		back := time.Now()
+		time.Sleep(inTouchAfter - changeBound)
+		c.checkKnown(3, back.Add(inTouchAfter-changeBound))
+	})
+}
+
+// writeOther writes a number of objects of another kind.
+func (c *storeCluster) writeOther(series, count int) {
+	c.t.Helper()
+	objects := platform.NewObjectClient(c.address)
+	for i := range count {
+		name := fmt.Sprintf("%d-%d", series, i)
+		if _, err := objects.Put(c.t.Context(), "other", platform.Object{Name: name, Spec: []byte("1")}); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+}
