A change is active in time whatever happens to watches

Nodes took the silence of a watch for proof that nothing had changed. A watch whose connection has gone silent stays open for up to 10.5 s; one from a revision that a restored store assigns again never tells of the change; and where those that watch are turned away, the others read stale lists each 6 to 10 s.

Each node now knows by which read of the store, its own or a linked node's, its version was last the newest, and how long ago. Control frames carry the age of the sender's own read. A node reads the configuration in full as soon as that age is over a quarter to a half of the time in which a change must be active (setting [configuration] apply_within); a version that was heard and not fetched makes a read due as well. Revisions, eras and watches have no part in it: a watch is a hint that a change comes at once. The stale polls are gone.

--- a/cmd/heathershed-sidecar/cost_test.go
+++ b/cmd/heathershed-sidecar/cost_test.go
@@ -128,7 +128,7 @@
 		VM: fmt.Sprint("vm-", i), Datacentre: fmt.Sprint("dc", i/costServices), Region: "r", Service: service(i),
 		Clients: ip + ":7001", Link: ip + ":7002", Ready: ip + ":7003", Heartbeats: ip + ":7004", Metrics: ip + ":7005",
 		Upstream: ip + ":8080", Platform: store, LogLevel: "info",
-		Grace: time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Memory: 256 << 20,
+		ApplyWithin: 2 * time.Second, Grace: time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Memory: 256 << 20,
 	}
 	var text bytes.Buffer
 	if err := cfg.Print(&text); err != nil {
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -26,6 +26,9 @@
 	Upstream string
 	// Platform is the ip:port of the object API.
 	Platform string
+	// ApplyWithin is the time from when the object API accepts a configuration
+	// until it is active here.
+	ApplyWithin time.Duration
 	// Grace bounds the duration of a graceful shutdown.
 	Grace time.Duration
 	// RetryRatio and RetrySlack bound the attempts on an upstream beyond the
@@ -41,8 +44,9 @@
 }
 
 const (
-	maxRetrySlack = 1_000_000
-	maxMemory     = 1 << 40
+	minApplyWithin = 200 * time.Millisecond
+	maxRetrySlack  = 1_000_000
+	maxMemory      = 1 << 40
 )
 
 // LoadSidecar reads and parses the file at path.
@@ -84,6 +88,7 @@
 		{section: "addresses", key: "metrics", value: address{&s.Metrics}, required: true},
 		{section: "upstream", key: "address", value: address{&s.Upstream}, required: true},
 		{section: "platform", key: "address", value: address{&s.Platform}, required: true},
+		{section: "configuration", key: "apply_within", value: duration{&s.ApplyWithin, minApplyWithin, time.Hour}, defaultText: "2s"},
 		{section: "retries", key: "ratio", value: ratio{&s.RetryRatio}, defaultText: "0.2"},
 		{section: "retries", key: "slack", value: number{&s.RetrySlack, 0, maxRetrySlack}, defaultText: "50"},
 		{section: "retries", key: "window", value: duration{&s.RetryWindow, time.Second, time.Hour}, defaultText: "10s"},
--- a/internal/sidecar/cluster_test.go
+++ b/internal/sidecar/cluster_test.go
@@ -208,7 +208,7 @@
 		VM: fmt.Sprint("vm-", number), Datacentre: datacentre, Region: "r", Service: service,
 		Clients: ip + ":7001", Link: ip + ":7002", Announce: ip + ":7002", Ready: ip + ":7003", Heartbeats: ip + ":7004", Metrics: ip + ":7005",
 		Upstream: up.address, Platform: tc.address,
-		Grace: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Memory: 64 << 20,
+		ApplyWithin: changeBound, Grace: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Memory: 64 << 20,
 	}}
 }
 
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -8,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	linkpb "heathershed/api/link"
 	"heathershed/internal/freshness"
 	store "heathershed/internal/platform"
 	"heathershed/internal/wait"
@@ -23,76 +25,94 @@
 	// minBackoff and maxBackoff bound the wait after a failed call.
 	minBackoff = 130 * time.Millisecond
 	maxBackoff = 2600 * time.Millisecond
-	// A node that does not watch reads the configuration every pollInterval
-	// plus up to pollJitter, and checks every rolePollInterval whether it
-	// should watch.
-	pollInterval     = 6 * time.Second
-	pollJitter       = 4 * time.Second
+	// A node that does not watch checks every rolePollInterval whether it
+	// should.
 	rolePollInterval = time.Second
+	// freshnessParts is the number of parts of the time in which a change must
+	// be active: one until a read is due, up to one at random, and the others to
+	// read and to report what was read.
+	freshnessParts = 4
+	// maxReportedAge bounds the age of a read that another node reports, in
+	// microseconds.
+	maxReportedAge = uint64(time.Hour / time.Microsecond)
 )
 
+// errRefused means that the object API holds a newer configuration that can't
+// be decoded.
+var errRefused = errors.New("sidecar: configuration refused")
+
 // newBackoff returns the backoff between failed calls to the object API.
 func newBackoff() *wait.Backoff { return &wait.Backoff{Base: minBackoff, Max: maxBackoff} }
 
-// runConfiguration is the task that keeps the newest configuration active. A
-// node reads it and then watches for changes. Where other nodes of its data
-// centre watch, it polls with reads that may be seconds old instead. Other
-// nodes also announce newer versions on links.
-func (n *Node) runConfiguration(ctx context.Context) error {
+// freshnessLimit returns the age of a confirmation at which a read may be due.
+func freshnessLimit(applyWithin time.Duration) time.Duration { return applyWithin / freshnessParts }
+
+// runFreshness is the task that reads the configuration whenever no read of it,
+// here or at a linked node, is recent enough. It bounds the time until a change
+// is active, whatever happens to watches and links.
+func (n *Node) runFreshness(ctx context.Context) error {
 	backoff := newBackoff()
-	var revision uint64
 	for ctx.Err() == nil {
-		var err error
-		revision, err = n.syncConfiguration(ctx, revision)
-		if err == nil {
-			backoff.Reset()
+		if left := time.Until(n.freshness.Due()); left > 0 {
+			n.doubted.Wait(ctx, left)
 			continue
 		}
-		_ = wait.For(ctx, backoff.Next())
+		if _, err := n.readConfiguration(ctx); err != nil {
+			_ = wait.For(ctx, backoff.Next())
+			continue
+		}
+		backoff.Reset()
 	}
 	return nil
 }
 
-// syncConfiguration makes one call to the object API, after a wait if other
-// nodes watch. It returns the revision from which a watch continues, or 0 if a
-// full read is needed first.
-func (n *Node) syncConfiguration(ctx context.Context, revision uint64) (uint64, error) {
-	switch {
-	case revision == 0:
-		return n.readConfiguration(ctx, false)
-	case n.peers.watches():
-		return n.watchConfiguration(ctx, revision)
+// runWatch is the task that watches the configuration if this node is one of
+// those of its data centre that do. A watch tells of a change at once, but its
+// silence proves nothing.
+func (n *Node) runWatch(ctx context.Context) error {
+	backoff := newBackoff()
+	var revision uint64
+	for ctx.Err() == nil {
+		if !n.peers.watches() {
+			revision = 0
+			_ = wait.For(ctx, rolePollInterval)
+			continue
+		}
+		var err error
+		if revision, err = n.followConfiguration(ctx, revision); err != nil {
+			_ = wait.For(ctx, backoff.Next())
+			continue
+		}
+		backoff.Reset()
 	}
-	n.awaitRole(ctx)
-	_, err := n.readConfiguration(ctx, true)
-	return revision, err
+	return nil
 }
 
-// awaitRole waits until the next poll is due, or until this node is one of
-// those that watch.
-func (n *Node) awaitRole(ctx context.Context) {
-	until := time.Now().Add(pollInterval + rand.N(pollJitter))
-	for ctx.Err() == nil && time.Now().Before(until) && !n.peers.watches() {
-		_ = wait.For(ctx, rolePollInterval)
+// followConfiguration makes one call to the object API. It returns the revision
+// from which a watch continues, or 0 if a read is needed first.
+func (n *Node) followConfiguration(ctx context.Context, revision uint64) (uint64, error) {
+	if revision == 0 {
+		return n.readConfiguration(ctx)
 	}
+	return n.watchConfiguration(ctx, revision)
 }
 
-// readConfiguration reads the configuration and returns the revision from
-// which a watch continues. With stale set, both may be seconds old.
-func (n *Node) readConfiguration(ctx context.Context, stale bool) (uint64, error) {
+// readConfiguration reads the configuration, reports the read to the linked
+// nodes and returns the revision from which a watch continues.
+func (n *Node) readConfiguration(ctx context.Context) (uint64, error) {
 	began := time.Now()
-	objects, revision, err := n.objects.List(ctx, platform.ConfigKind, stale)
+	objects, revision, err := n.objects.List(ctx, platform.ConfigKind, false)
 	n.observeStoreCall(callConfiguration, began, err)
 	if err != nil {
 		return 0, err
 	}
-	confirmed := true
 	for _, o := range objects {
-		confirmed = n.adoptObject("read", o) && confirmed
-	}
-	if confirmed && !stale {
-		n.freshness.Confirm(freshness.Confirmation{At: began, By: "read"})
+		if _, err := n.adoptObject("read", o); err != nil {
+			return 0, err
+		}
 	}
+	n.freshness.Read(began)
+	n.broadcast()
 	return revision, nil
 }
 
@@ -109,48 +129,69 @@
 	if err != nil {
 		return from, err
 	}
-	confirmed := revision > 0
 	for _, e := range events {
-		if !e.Gone {
-			confirmed = n.adoptObject("watch", e.Object) && confirmed
+		if e.Gone {
+			continue
+		}
+		if changed, err := n.adoptObject("watch", e.Object); changed && err == nil {
+			n.broadcast()
 		}
-	}
-	if confirmed {
-		n.freshness.Confirm(freshness.Confirmation{At: time.Now(), By: "watch"})
 	}
 	return revision, nil
 }
 
-// adoptObject is adopt for the object that holds the configuration, and true
-// for every other object.
-func (n *Node) adoptObject(by string, o platform.Object) bool {
-	return o.Name != platform.ConfigName || len(o.Spec) == 0 || n.adopt(by, o.Spec)
+// adoptObject is adopt for the object that holds the configuration. It ignores
+// every other object.
+func (n *Node) adoptObject(by string, o platform.Object) (changed bool, err error) {
+	if o.Name != platform.ConfigName || len(o.Spec) == 0 {
+		return false, nil
+	}
+	return n.adopt(by, o.Spec)
 }
 
-// adopt activates a configuration unless the active one is as new. by says what
-// brought it: a read, a watch or the VM of another node. A configuration that
-// can't be decoded is logged, and the active one stays; adopt then returns
-// false.
-func (n *Node) adopt(by string, raw []byte) bool {
+// adopt activates a configuration unless the active one is as new, and reports
+// whether it did. by says what brought it: a read, a watch or the VM of another
+// node. A configuration that can't be decoded is logged and returns errRefused;
+// the active one stays.
+func (n *Node) adopt(by string, raw []byte) (changed bool, err error) {
+	if old := n.table.Load(); old != nil && bytes.Equal(old.raw, raw) {
+		return false, nil
+	}
 	table, err := platform.DecodeConfig(raw)
 	if err != nil {
 		n.log.Error("configuration refused", "by", by, "err", err)
-		return false
+		return false, errors.Mark(err, errRefused)
 	}
-	next := &configuration{Table: table, raw: raw}
+	if !n.activate(&configuration{Table: table, raw: raw}) {
+		return false, nil
+	}
+	n.log.Info("configuration in force", "version", table.Version, "by", by, "routes", table.NumRoutes(),
+		"before", n.freshnessText(time.Now()))
+	return true, nil
+}
+
+// activate makes a configuration the active one unless that is as new.
+func (n *Node) activate(next *configuration) bool {
 	for {
 		old := n.table.Load()
-		if old != nil && old.Version >= table.Version {
-			return true
+		if old != nil && old.Version >= next.Version {
+			return false
 		}
 		if n.table.CompareAndSwap(old, next) {
-			break
+			return true
 		}
 	}
-	n.log.Info("configuration in force", "version", table.Version, "by", by, "routes", table.NumRoutes(),
-		"before", n.freshnessText(time.Now()))
-	n.broadcast()
-	return true
+}
+
+// noteFreshness records what another node reports of its newest read of the
+// configuration. It counts only if the active version is not older than what
+// that node had read.
+func (n *Node) noteFreshness(vm string, have *linkpb.Have) {
+	age := time.Duration(min(have.GetCatalogueAgeUs(), maxReportedAge)) * time.Microsecond
+	if age == 0 || have.GetCatalogueVersion() == 0 || n.lacks(have.GetCatalogueVersion()) {
+		return
+	}
+	n.freshness.Heard(freshness.Confirmation{At: time.Now().Add(-age), By: vm})
 }
 
 // freshnessText describes for logs how old the knowledge is that the active
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -65,7 +65,7 @@
 	started     time.Time
 
 	table       atomic.Pointer[configuration]
-	freshness   freshness.Tracker // of the active configuration
+	freshness   *freshness.Tracker // of the active configuration
 	split       routes.Splitter
 	fleet       *fleet.Fleet
 	sched       *scheduler.Scheduler
@@ -90,7 +90,9 @@
 
 	// recordChanged is sent when the local record may have changed.
 	recordChanged wait.Signal
-	store         storeHealth
+	// doubted is sent when a read of the configuration may be due earlier.
+	doubted wait.Signal
+	store   storeHealth
 	// listed is set once the records of the other nodes were read.
 	listed   atomic.Bool
 	stopping atomic.Bool
@@ -131,7 +133,9 @@
 		pressure:      pressure.New(),
 		budget:        newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
 		metrics:       newMetrics(),
+		freshness:     freshness.New(freshnessLimit(cfg.ApplyWithin), now),
 		recordChanged: wait.NewSignal(),
+		doubted:       wait.NewSignal(),
 	}
 	n.incarnation.Store(uint64(now.UnixMicro()))
 	n.grace.Store(int64(cfg.Grace))
@@ -164,7 +168,8 @@
 	group.Go(func() error { return n.ready.Serve(l.ready) })
 	group.Go(func() error { return n.heartbeats.Serve(l.heartbeats) })
 	group.Go(func() error { return n.serveMetrics(l.metrics) })
-	group.Go(func() error { return n.runConfiguration(running) })
+	group.Go(func() error { return n.runWatch(running) })
+	group.Go(func() error { return n.runFreshness(running) })
 	group.Go(func() error { return n.peers.runLinks(running) })
 	group.Go(func() error { return n.runGauges(running) })
 	group.Go(func() error { return n.runRecord(running) })
@@ -180,13 +185,14 @@
 	return cause
 }
 
-// Apply activates the settings that can change at run time: the retry budget
-// and the grace period of a shutdown. Names and addresses apply only after a
+// Apply activates the settings that can change at run time: the retry budget,
+// the grace period of a shutdown and the time to apply a configuration. Names and addresses apply only after a
 // restart.
 func (n *Node) Apply(cfg *settings.Sidecar) {
 	n.budget.setBound(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow)
 	n.grace.Store(int64(cfg.Grace))
-	n.log.Info("reload", "retry_ratio", cfg.RetryRatio, "retry_slack", cfg.RetrySlack,
+	n.freshness.SetLimit(freshnessLimit(cfg.ApplyWithin))
+	n.log.Info("reload", "apply_within_ms", cfg.ApplyWithin.Milliseconds(), "retry_ratio", cfg.RetryRatio, "retry_slack", cfg.RetrySlack,
 		"retry_window_ms", cfg.RetryWindow.Milliseconds(), "grace_ms", cfg.Grace.Milliseconds())
 }
 
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -162,8 +162,14 @@
 // newFrame returns a control frame with the fields that every frame carries.
 func (n *Node) newFrame() *linkpb.ControlFrame {
 	f := &linkpb.ControlFrame{Vm: n.cfg.VM, Incarnation: n.incarnation.Load(), Have: &linkpb.Have{}}
-	if t := n.table.Load(); t != nil {
-		f.Have.CatalogueVersion = t.Version
+	read, ok := n.freshness.LastRead() // before the version, which may rise meanwhile
+	t := n.table.Load()
+	if t == nil {
+		return f
+	}
+	f.Have.CatalogueVersion = t.Version
+	if ok {
+		f.Have.CatalogueAgeUs = uint64(max(time.Since(read).Microseconds(), 1))
 	}
 	return f
 }
@@ -276,15 +282,24 @@
 	n.remind(s, f)
 	for _, d := range f.Documents {
 		if d.Name == documentRoutes {
-			n.adopt(f.Vm, d.Value)
+			n.adoptFromLink(f.Vm, d.Value)
 		}
 	}
+	n.noteFreshness(f.Vm, f.Have)
 	if len(f.FetchDocuments) > 0 {
 		n.sendConfiguration(s)
 	}
 	n.fetchNewer(s, f.Have)
 }
 
+// adoptFromLink adopts a configuration that another node has sent, and announces
+// it if it is new.
+func (n *Node) adoptFromLink(vm string, raw []byte) {
+	if changed, err := n.adopt(vm, raw); changed && err == nil {
+		n.broadcast()
+	}
+}
+
 // sendConfiguration sends the active configuration.
 func (n *Node) sendConfiguration(s *link.Session) {
 	t := n.table.Load()
@@ -316,10 +331,20 @@
 			f.FetchDocuments = []string{documentRoutes}
 			s.Send(f)
 		}
-		time.AfterFunc(fetchDelay, func() { n.peers.fetching.Store(false) })
+		time.AfterFunc(fetchDelay, func() { n.endFetch(version) })
 	})
 }
 
+// endFetch ends the fetch of a version. If it did not bring the version, this
+// node reads the configuration itself.
+func (n *Node) endFetch(version uint64) {
+	n.peers.fetching.Store(false)
+	if n.lacks(version) {
+		n.freshness.Doubt(time.Now())
+		n.doubted.Send()
+	}
+}
+
 // lacks reports whether a version is newer than the active one.
 func (n *Node) lacks(version uint64) bool {
 	t := n.table.Load()
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -23,7 +23,9 @@
 const (
 	// changeInterval is the time between two configuration changes.
 	changeInterval = 2 * time.Second
-	// changeBound is the time within which a change is active at every node.
+	// applyWithin is the time within which the nodes are told to apply a change,
+	// and changeBound that after which it must be active at every node.
+	applyWithin = 2 * time.Second
 	changeBound = 2500 * time.Millisecond
 	// settleTime is how long a fault that delays changes is taken to affect
 	// later ones: changeBound applies to a change only if no such fault has been
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -74,7 +74,7 @@
 		VM: p.name, Datacentre: "west", Region: "r", Service: p.service,
 		Clients: addr(7001), Link: addr(7002), Announce: addr(7402), Ready: addr(7003), Heartbeats: addr(7004),
 		Metrics: addr(7005), Upstream: addr(8081), Platform: addr(7401),
-		Grace: grace, RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow,
+		ApplyWithin: applyWithin, Grace: grace, RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow,
 		Memory: memoryLimit, LogLevel: "info",
 	}
 	ini := filepath.Join(p.dir, p.name+".ini")
