An entry that can't be read does not hold back a configuration

The store accepts only valid configurations, so what is strict here can only hurt.

An entry is now read as far as it can be. A route without a readable service stays, so that its requests reach no other route's service, and they get 503 with Retry-After. What has neither host nor path is left out. Each fault is logged with version, entry and field, and counted in 'configuration in force'.

--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -29,8 +29,11 @@
 	// the longest Prefix applies.
 	Host, Prefix string
 	// Services lists the services that run the requests; at least one has a
-	// weight above 0.
+	// weight above 0, unless the route is unavailable.
 	Services []WeightedService
+	// Unavailable reports that the entry of the route does not say which service
+	// runs its requests. They must not fall to a route with a shorter prefix.
+	Unavailable bool
 	// Idempotent reports whether requests may run more than once. Requests of
 	// other routes are orders.
 	Idempotent bool
@@ -45,6 +48,9 @@
 	Attempts int
 }
 
+// HasPath reports whether the route has a host and a valid prefix.
+func (r *Route) HasPath() bool { return r.Host != "" && strings.HasPrefix(r.Prefix, "/") }
+
 // Service is the configuration of one service.
 type Service struct {
 	Name string
@@ -71,37 +77,47 @@
 	hosts    map[string][]*Route // by lower-case host, longest prefix first
 }
 
-// New validates the entries and builds a table. An error names the invalid
-// route.
-func New(version uint64, all []Route, services []Service, limits Limits) (*Table, error) {
+// New builds a table. Each error names an invalid route: one with a valid host
+// and prefix is kept as unavailable, any other is left out.
+func New(version uint64, all []Route, services []Service, limits Limits) (*Table, []error) {
 	t := &Table{
 		Version:  version,
 		Limits:   limits,
-		routes:   len(all),
 		services: make(map[string]Service, len(services)),
 		hosts:    make(map[string][]*Route),
 	}
 	for _, s := range services {
 		t.services[s.Name] = s
 	}
+	var invalid []error
 	for i := range all {
-		r := &all[i]
-		if err := validate(r); err != nil {
-			return nil, errors.Wrapf(err, "route %q", r.Name)
+		if err := t.add(&all[i]); err != nil {
+			invalid = append(invalid, errors.Wrapf(err, "route %.80q", all[i].Name))
 		}
-		host := strings.ToLower(r.Host)
-		t.hosts[host] = append(t.hosts[host], r)
 	}
 	for _, list := range t.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
-	return t, nil
+	return t, invalid
 }
 
-func validate(r *Route) error {
-	if !strings.HasPrefix(r.Prefix, "/") {
-		return errors.Newf("path prefix %q: must begin with /", r.Prefix)
+// add adds a route as far as it is valid.
+func (t *Table) add(r *Route) error {
+	if !r.HasPath() {
+		return errors.Newf("host %.80q, path prefix %.80q: must have a host and begin with /", r.Host, r.Prefix)
+	}
+	var invalid error
+	if !r.Unavailable {
+		invalid = validate(r)
+		r.Unavailable = invalid != nil
 	}
+	host := strings.ToLower(r.Host)
+	t.hosts[host] = append(t.hosts[host], r)
+	t.routes++
+	return invalid
+}
+
+func validate(r *Route) error {
 	total := 0
 	for _, s := range r.Services {
 		if s.Service == "" || s.Weight < 0 {
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -139,6 +139,9 @@
 	if limit := table.Limits.BodyBytes; limit > 0 && len(rc.Request.Body()) > limit {
 		return outcome.NotRunReply(contract.ReasonTooLarge, "request body over the limit")
 	}
+	if route.Unavailable {
+		return outcome.NotRunReply(contract.ReasonNoUpstream, "the entry of the route can't be read")
+	}
 	c.route = route
 	c.service = n.split.Next(route)
 	return nil
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -157,7 +157,7 @@
 	if old := n.table.Load(); old != nil && bytes.Equal(old.raw, raw) {
 		return false, nil
 	}
-	table, err := platform.DecodeConfig(raw)
+	table, faults, err := platform.DecodeConfig(raw)
 	if err != nil {
 		n.log.Error("configuration refused", "by", by, "err", err)
 		return false, errors.Mark(err, errRefused)
@@ -166,7 +166,10 @@
 		return false, nil
 	}
 	n.log.Info("configuration in force", "version", table.Version, "by", by, "routes", table.NumRoutes(),
-		"before", n.freshnessText(time.Now()))
+		"faults", len(faults), "before", n.freshnessText(time.Now()))
+	for _, fault := range faults {
+		n.log.Error("configuration entry unreadable", "version", table.Version, "err", fault)
+	}
 	return true, nil
 }
 
--- a/internal/sidecar/configuration_test.go
+++ b/internal/sidecar/configuration_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"net/http"
 	"regexp"
+	"strings"
 	"testing"
 	"time"
 
 	"heathershed/internal/soak"
 	"heathershed/platform"
+	"heathershed/platform/platformtest"
 )
 
 const (
@@ -159,3 +161,18 @@
 		}
 	}
 }
+
+func TestRouteThatCannotBeReadIsRefusedAsNotRun(t *testing.T) {
+	t.Parallel()
+	tc := newTestCluster(t)
+	spec := platformtest.Config(1, "s", "s/inner")
+	tc.writeConfig(strings.Replace(spec, `"service":"s/inner"`, `"service":7`, 1))
+	m := tc.start("s")
+	tc.waitFor("ready", m.ready)
+	m.heartbeat("s", "ready")
+	m.waitServing("/s/x")
+	got := m.request("GET", "/s/inner/x", nil)
+	if got.status != http.StatusServiceUnavailable || got.retryAfter == "" {
+		t.Errorf("route without a readable service: got status %d, Retry-After %q; want 503 with one", got.status, got.retryAfter)
+	}
+}
