--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -19,6 +19,8 @@
 	meanInterval = 350 * time.Millisecond
 	// meanNoticeInterval is the same for what upstreams say in their answers.
 	meanNoticeInterval = 2 * time.Second
+	// meanStoreInterval is the same for silent connections to the object API.
+	meanStoreInterval = 4 * time.Second
 	// A fault lasts for minDuration plus a random part of up to durationSpread.
 	minDuration    = 300 * time.Millisecond
 	durationSpread = 2 * time.Second
@@ -105,11 +107,17 @@
 	{"leave in answers", leaveInAnswers},
 }
 
+// storeKinds are drawn apart for the same reason.
+var storeKinds = []faultKind{
+	{"connections to the store silent for good", blackholeStore},
+}
+
 // NewPlan draws the faults of a run of the given length. The same arguments
 // give the same plan.
 func NewPlan(seed uint64, vms int, length time.Duration) []Event {
 	plan := draw(rand.New(rand.NewPCG(seed, 1)), vms, length, meanInterval, faultKinds)
 	plan = append(plan, draw(rand.New(rand.NewPCG(seed, 4)), vms, length, meanNoticeInterval, noticeKinds)...)
+	plan = append(plan, draw(rand.New(rand.NewPCG(seed, 5)), vms, length, meanStoreInterval, storeKinds)...)
 	slices.SortStableFunc(plan, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
@@ -133,7 +141,7 @@
 }
 
 func injectorOf(kind string) faultFunc {
-	for _, f := range slices.Concat(faultKinds, noticeKinds) {
+	for _, f := range slices.Concat(faultKinds, noticeKinds, storeKinds) {
 		if f.kind == kind {
 			return f.inject
 		}
@@ -307,6 +315,15 @@
 	}
 }
 
+// blackholeStore blackholes the open connections of all nodes to the object API.
+// New ones work.
+func blackholeStore(r *run, _ *vm, _ Event) {
+	defer r.ledger.BeginFault(faultStorePath)()
+	for _, v := range r.vms {
+		v.storeProxy.BlackholeAll()
+	}
+}
+
 func storeFaults(f fake.Faults) faultFunc {
 	return func(r *run, _ *vm, e Event) {
 		defer r.ledger.BeginFault(faultStore)()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -146,7 +146,7 @@
 func (r *run) openVM(i int, store string) error {
 	v, err := newVM(r.ledger, vmConfig{
 		dir: r.cfg.Dir, bin: r.cfg.Bin, name: fmt.Sprint("vm-", i), ip: r.ip(1 + i),
-		service: services[i%len(services)], store: store,
+		datacentre: "west", service: services[i%len(services)], store: store,
 	})
 	if err != nil {
 		return err
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -64,14 +64,14 @@
 
 // vmConfig is the files and listen addresses of a VM's parts.
 type vmConfig struct {
-	dir, bin, name, ip, service, store string
+	dir, bin, name, ip, datacentre, service, store string
 }
 
 // newVM writes the settings and opens the proxies. It starts no process.
 func newVM(l *Ledger, p vmConfig) (*vm, error) {
 	addr := func(port int) string { return fmt.Sprintf("%s:%d", p.ip, port) }
 	cfg := &settings.Sidecar{
-		VM: p.name, Datacentre: "west", Region: "r", Service: p.service,
+		VM: p.name, Datacentre: p.datacentre, Region: "r", Service: p.service,
 		Clients: addr(7001), Link: addr(7002), Announce: addr(7402), Ready: addr(7003), Heartbeats: addr(7004),
 		Metrics: addr(7005), Upstream: addr(8081), Platform: addr(7401),
 		ApplyWithin: applyWithin, Grace: grace, RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow,
