Stand-in rejects calls on demand; tests of fetches and reports

Two unit tests: a fetch that brings nothing makes a read due, and the report of a read confirms nothing where this node lacks what was read. A comment and one line break of the node; nothing else there.

--- a/internal/platform/fake/fake.go
+++ b/internal/platform/fake/fake.go
@@ -97,6 +97,14 @@
 	return s.faults
 }
 
+// Rejects draws whether a server must reject the next call, see
+// Faults.Rejected.
+func (s *Store) Rejects() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chance(s.faults.Rejected)
+}
+
 // Counts returns the number of calls so far and the size of the content.
 func (s *Store) Counts() Counts {
 	s.mu.Lock()
--- a/internal/platform/fake/faults.go
+++ b/internal/platform/fake/faults.go
@@ -8,6 +8,9 @@
 type Faults struct {
 	// Down makes every call fail, including blocked watches.
 	Down bool `json:"down"`
+	// Rejected is the probability that a server rejects a call for overload
+	// without executing it.
+	Rejected float64 `json:"rejected"`
 	// Latency is added once to every call. A watch waits for it before it
 	// blocks.
 	Latency time.Duration `json:"latency_ns"`
--- a/internal/platform/standin/protocol_test.go
+++ b/internal/platform/standin/protocol_test.go
@@ -223,3 +223,20 @@
 		_ = resp.Body.Close()
 	}
 }
+
+func TestRejectedCallsHaveNoEffect(t *testing.T) {
+	c, f := open(t)
+	f.SetFaults(fake.Faults{Rejected: 1})
+	_, getErr := c.Get(t.Context(), kind, "a")
+	_, putErr := c.Put(t.Context(), kind, platform.Object{Name: "a", Spec: []byte("1")})
+	_, _, watchErr := c.Watch(t.Context(), kind, 0, time.Second)
+	for name, err := range map[string]error{"get": getErr, "put": putErr, "watch": watchErr} {
+		if !errors.Is(err, store.ErrUnavailable) {
+			t.Errorf("%s: got %v, want ErrUnavailable", name, err)
+		}
+	}
+	f.SetFaults(fake.Faults{})
+	if _, err := c.Get(t.Context(), kind, "a"); !errors.Is(err, store.ErrNotFound) {
+		t.Errorf("object of the rejected write: got %v, want ErrNotFound", err)
+	}
+}
--- a/internal/platform/standin/standin.go
+++ b/internal/platform/standin/standin.go
@@ -103,11 +103,14 @@
 		c.Error(err.Error(), fasthttp.StatusNotFound)
 		return
 	}
-	if at.Name == "" {
+	switch {
+	case s.store.Rejects():
+		c.Error("too many calls", fasthttp.StatusTooManyRequests)
+	case at.Name == "":
 		s.kind(c, at.Kind)
-		return
+	default:
+		s.object(c, at)
 	}
-	s.object(c, at)
 }
 
 // kind serves the calls on all objects of a kind.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -186,13 +186,14 @@
 }
 
 // Apply activates the settings that can change at run time: the retry budget,
-// the grace period of a shutdown and the time to apply a configuration. Names and addresses apply only after a
-// restart.
+// the grace period of a shutdown and the time to apply a configuration. Names
+// and addresses apply only after a restart.
 func (n *Node) Apply(cfg *settings.Sidecar) {
 	n.budget.setBound(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow)
 	n.grace.Store(int64(cfg.Grace))
 	n.freshness.SetLimit(freshnessLimit(cfg.ApplyWithin))
-	n.log.Info("reload", "apply_within_ms", cfg.ApplyWithin.Milliseconds(), "retry_ratio", cfg.RetryRatio, "retry_slack", cfg.RetrySlack,
+	n.log.Info("reload", "apply_within_ms", cfg.ApplyWithin.Milliseconds(),
+		"retry_ratio", cfg.RetryRatio, "retry_slack", cfg.RetrySlack,
 		"retry_window_ms", cfg.RetryWindow.Milliseconds(), "grace_ms", cfg.Grace.Milliseconds())
 }
 
--- a/internal/sidecar/unit_test.go
+++ b/internal/sidecar/unit_test.go
@@ -16,6 +16,7 @@
 	"heathershed/internal/fleet"
 	"heathershed/internal/link"
 	"heathershed/internal/settings"
+	"heathershed/platform/platformtest"
 )
 
 func dial(t *testing.T, address string) net.Conn {
@@ -154,3 +155,43 @@
 		t.Errorf("address of the local record: got %q, want the announced one", got)
 	}
 }
+
+func TestFetchThatBringsNothingMakesAReadDue(t *testing.T) {
+	const applyWithin = time.Hour
+	n := New(&settings.Sidecar{VM: "own", Upstream: "127.0.0.1:1", Platform: "127.0.0.1:1", ApplyWithin: applyWithin}, slog.New(slog.DiscardHandler))
+	if _, err := n.adopt("read", []byte(platformtest.Config(2, "s"))); err != nil {
+		t.Fatal(err)
+	}
+	n.freshness.Read(time.Now())
+	earliest := time.Now().Add(freshnessLimit(applyWithin))
+	if n.endFetch(2); n.freshness.Due().Before(earliest) {
+		t.Error("read due though the version that was fetched is active")
+	}
+	if n.endFetch(3); !n.freshness.Due().Before(earliest) {
+		t.Error("no read due though the version that was fetched did not arrive")
+	}
+}
+
+// TestReportOfAnOlderReadConfirmsNothing guards against a node taking a read
+// for a confirmation although it lacks what was read.
+func TestReportOfAnOlderReadConfirmsNothing(t *testing.T) {
+	n := New(&settings.Sidecar{VM: "own", Upstream: "127.0.0.1:1", Platform: "127.0.0.1:1", ApplyWithin: time.Second}, slog.New(slog.DiscardHandler))
+	if _, err := n.adopt("read", []byte(platformtest.Config(5, "s"))); err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		version, age uint64
+		want         bool
+	}{
+		{6, 1000, false},
+		{0, 1000, false},
+		{5, 0, false},
+		{5, 1000, true},
+	}
+	for _, c := range cases {
+		n.noteFreshness("other", &linkpb.Have{CatalogueVersion: c.version, CatalogueAgeUs: c.age})
+		if _, got := n.freshness.Newest(); got != c.want {
+			t.Errorf("report of version %d, age %d us: got confirmed %v, want %v", c.version, c.age, got, c.want)
+		}
+	}
+}
--- a/internal/soak/configuration_test.go
+++ b/internal/soak/configuration_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"heathershed/internal/platform/fake"
 	"heathershed/platform"
 	"heathershed/platform/platformtest"
 )
@@ -157,6 +158,15 @@
 	}
 	time.Sleep(settleTime)
 	d.storm("silent connections to the store and between nodes", 8)
+	if err := d.operator.setStoreFaults(fake.Faults{Rejected: 1}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(settleTime)
+	if err := d.operator.setStoreFaults(fake.Faults{}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(settleTime)
+	d.storm("after a store that rejected all calls", 4)
 	for _, v := range d.vms {
 		v.kill()
 		time.Sleep(startGap)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -19,7 +19,7 @@
 	meanInterval = 350 * time.Millisecond
 	// meanNoticeInterval is the same for what upstreams say in their answers.
 	meanNoticeInterval = 2 * time.Second
-	// meanStoreInterval is the same for silent connections to the object API.
+	// meanStoreInterval is the same for storeKinds.
 	meanStoreInterval = 4 * time.Second
 	// A fault lasts for minDuration plus a random part of up to durationSpread.
 	minDuration    = 300 * time.Millisecond
@@ -110,6 +110,7 @@
 // storeKinds are drawn apart for the same reason.
 var storeKinds = []faultKind{
 	{"connections to the store silent for good", blackholeStore},
+	{"store rejects", storeFaults(fake.Faults{Rejected: 0.9})},
 }
 
 // NewPlan draws the faults of a run of the given length. The same arguments
