--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -28,9 +28,9 @@
 	// A node that does not watch checks every rolePollInterval whether it
 	// should.
 	rolePollInterval = time.Second
-	// freshnessParts is the number of parts of the time in which a change must
-	// be active: one until a read is due, up to one at random, and the others to
-	// read and to report what was read.
+	// freshnessParts divides the time in which a change must be active. A read
+	// is due one to two parts after the newest one; the rest is for the read and
+	// its report.
 	freshnessParts = 4
 	// maxReportedAge bounds the age of a read that another node reports, in
 	// microseconds.
