A fetch that brings nothing is logged; names that need no comment

No line told that an announced version was not received, the reason for which a node then reads the store: 'configuration not received' does, with the age of its knowledge. Doubt and doubted were pictures, RequireRead and readDue say what happens; a mark on an error that nobody tested is gone, and so is a test on an error where the first result says it all. The time after which a bound applies in tests no longer has the users' word. No decision changes.

--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -83,9 +83,9 @@
 	return confirmed.Add(t.limit + rand.N(t.limit+1))
 }
 
-// Doubt makes a read due within the limit, because a newer version may exist
-// that nobody has brought.
-func (t *Tracker) Doubt(now time.Time) {
+// RequireRead makes a read due within the limit, for a version that was announced
+// and not received.
+func (t *Tracker) RequireRead(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if due := now.Add(rand.N(t.limit + 1)); due.Before(t.due) {
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -57,11 +57,11 @@
 			tr.Read(at(2 * time.Second))
 			tr.Heard(Confirmation{At: at(time.Second)})
 		}, 2*time.Second + limit, 2*time.Second + 2*limit},
-		{"doubt", func(tr *Tracker) {
+		{"required", func(tr *Tracker) {
 			tr.Read(at(time.Second))
-			tr.Doubt(at(time.Second))
+			tr.RequireRead(at(time.Second))
 		}, time.Second, time.Second + limit},
-		{"doubt when already due", func(tr *Tracker) { tr.Doubt(at(3 * time.Second)) }, limit, 2 * limit},
+		{"required when already due", func(tr *Tracker) { tr.RequireRead(at(3 * time.Second)) }, limit, 2 * limit},
 		{"other limit", func(tr *Tracker) {
 			tr.SetLimit(2 * limit)
 			tr.Read(at(time.Second))
@@ -78,8 +78,8 @@
 	}
 }
 
-// TestFewOfManyNodesRead plays fleets in which each read reaches all other
-// nodes after a delay.
+// TestFewOfManyNodesRead simulates fleets in which each read is reported to all
+// other nodes after a delay.
 func TestFewOfManyNodesRead(t *testing.T) {
 	const (
 		delay  = 2 * time.Millisecond
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -37,10 +37,6 @@
 	maxReportedAge = uint64(time.Hour / time.Microsecond)
 )
 
-// errRefused means that the object API holds a newer configuration that can't
-// be decoded.
-var errRefused = errors.New("sidecar: configuration refused")
-
 // newBackoff returns the backoff between failed calls to the object API.
 func newBackoff() *wait.Backoff { return &wait.Backoff{Base: minBackoff, Max: maxBackoff} }
 
@@ -54,7 +50,7 @@
 	backoff := newBackoff()
 	for ctx.Err() == nil {
 		if left := time.Until(n.freshness.Due()); left > 0 {
-			n.doubted.Wait(ctx, left)
+			n.readDue.Wait(ctx, left)
 			continue
 		}
 		if _, err := n.readConfiguration(ctx); err != nil {
@@ -133,7 +129,8 @@
 		if e.Gone {
 			continue
 		}
-		if changed, err := n.adoptObject("watch", e.Object); changed && err == nil {
+		changed, _ := n.adoptObject("watch", e.Object) // adopt has logged the error
+		if changed {
 			n.broadcast()
 		}
 	}
@@ -151,8 +148,8 @@
 
 // adopt activates a configuration unless the active one is as new, and reports
 // whether it did. by says what brought it: a read, a watch or the VM of another
-// node. A configuration that can't be decoded is logged and returns errRefused;
-// the active one stays.
+// node. The error of a configuration that can't be decoded is logged here; the
+// active one stays.
 func (n *Node) adopt(by string, raw []byte) (changed bool, err error) {
 	if old := n.table.Load(); old != nil && bytes.Equal(old.raw, raw) {
 		return false, nil
@@ -160,7 +157,7 @@
 	table, faults, err := platform.DecodeConfig(raw)
 	if err != nil {
 		n.log.Error("configuration refused", "by", by, "err", err)
-		return false, errors.Mark(err, errRefused)
+		return false, err
 	}
 	if !n.activate(&configuration{Table: table, raw: raw}) {
 		return false, nil
--- a/internal/sidecar/configuration_test.go
+++ b/internal/sidecar/configuration_test.go
@@ -17,9 +17,9 @@
 	// changeBound is the time within which a change must be active at every
 	// node.
 	changeBound = 2 * time.Second
-	// inTouchAfter is the time after the end of a fault from which changeBound
+	// settleAfterFault is the time after the end of a fault from which changeBound
 	// applies.
-	inTouchAfter = 3 * time.Second
+	settleAfterFault = 3 * time.Second
 	// clustersPerFault is the number of clusters that are given the same fault,
 	// since a cluster may hear of a change by chance.
 	clustersPerFault = 4
@@ -112,7 +112,7 @@
 	for _, nodes := range []int{1, 3} {
 		inClusters(t, nodes, func(t *testing.T, c *storeCluster) {
 			c.silence()
-			time.Sleep(inTouchAfter)
+			time.Sleep(settleAfterFault)
 			c.checkChange(2)
 		})
 	}
@@ -121,7 +121,7 @@
 func TestChangeIsActiveWhereWatchersCannotReachTheStore(t *testing.T) {
 	t.Parallel()
 	inClusters(t, 3, func(t *testing.T, c *storeCluster) {
-		time.Sleep(inTouchAfter) // until the third node no longer watches
+		time.Sleep(settleAfterFault) // until the third node no longer watches
 		for i, m := range c.vms {
 			if m.node.peers.watches() {
 				c.stores[i].SetMode(soak.ModeReset)
@@ -145,8 +145,8 @@
 		c.writeOther(2, 20)
 		c.stores[0].SetMode(soak.ModePass)
 		back := time.Now()
-		time.Sleep(inTouchAfter - changeBound)
-		c.checkKnown(3, back.Add(inTouchAfter-changeBound))
+		time.Sleep(settleAfterFault - changeBound)
+		c.checkKnown(3, back.Add(settleAfterFault-changeBound))
 	})
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -90,8 +90,8 @@
 
 	// recordChanged is sent when the local record may have changed.
 	recordChanged wait.Signal
-	// doubted is sent when a read of the configuration may be due earlier.
-	doubted wait.Signal
+	// readDue is sent when the next read of the configuration is due earlier.
+	readDue wait.Signal
 	store   storeHealth
 	// listed is set once the records of the other nodes were read.
 	listed   atomic.Bool
@@ -135,7 +135,7 @@
 		metrics:       newMetrics(),
 		freshness:     freshness.New(freshnessLimit(cfg.ApplyWithin), now),
 		recordChanged: wait.NewSignal(),
-		doubted:       wait.NewSignal(),
+		readDue:       wait.NewSignal(),
 	}
 	n.incarnation.Store(uint64(now.UnixMicro()))
 	n.grace.Store(int64(cfg.Grace))
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -295,7 +295,8 @@
 // adoptFromLink adopts a configuration that another node has sent, and announces
 // it if it is new.
 func (n *Node) adoptFromLink(vm string, raw []byte) {
-	if changed, err := n.adopt(vm, raw); changed && err == nil {
+	changed, _ := n.adopt(vm, raw) // adopt has logged the error
+	if changed {
 		n.broadcast()
 	}
 }
@@ -340,8 +341,9 @@
 func (n *Node) endFetch(version uint64) {
 	n.peers.fetching.Store(false)
 	if n.lacks(version) {
-		n.freshness.Doubt(time.Now())
-		n.doubted.Send()
+		n.log.Info("configuration not received", "version", version, "active", n.freshnessText(time.Now()))
+		n.freshness.RequireRead(time.Now())
+		n.readDue.Send()
 	}
 }
 
