A configuration that nobody confirms is logged, once, with its age

A node that had heard nothing for longer than a change may take told it in a gauge alone. It now says 'configuration unconfirmed' when the newest read is older than apply_within, and 'configuration confirmed again' after, each once. No decision changes. TestUnconfirmedConfigurationIsLoggedOnce has no such line on the code before.

--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -48,7 +48,9 @@
 // is active, whatever happens to watches and links.
 func (n *Node) runFreshness(ctx context.Context) error {
 	backoff := newBackoff()
+	overdue := false
 	for ctx.Err() == nil {
+		overdue = n.logOverdue(overdue)
 		if left := time.Until(n.freshness.Due()); left > 0 {
 			n.readDue.Wait(ctx, left)
 			continue
@@ -62,6 +64,22 @@
 	return nil
 }
 
+// logOverdue logs when the active configuration has not been confirmed for the
+// time in which a change must be active, and when it is confirmed again. It
+// takes and returns whether it was overdue.
+func (n *Node) logOverdue(before bool) bool {
+	now := time.Now()
+	c, _ := n.freshness.Newest()
+	overdue := min(c.Age(now), now.Sub(n.started)) > time.Duration(n.applyWithin.Load())
+	switch {
+	case overdue && !before:
+		n.log.Warn("configuration unconfirmed", "active", n.freshnessText(now))
+	case before && !overdue:
+		n.log.Info("configuration confirmed again", "active", n.freshnessText(now))
+	}
+	return overdue
+}
+
 // runWatch is the task that watches the configuration if this node is one of
 // those of its data centre that do. A watch tells of a change at once, but its
 // silence proves nothing.
--- a/internal/sidecar/configuration_test.go
+++ b/internal/sidecar/configuration_test.go
@@ -176,3 +176,17 @@
 		t.Errorf("route without a readable service: got status %d, Retry-After %q; want 503 with one", got.status, got.retryAfter)
 	}
 }
+
+func TestUnconfirmedConfigurationIsLoggedOnce(t *testing.T) {
+	t.Parallel()
+	c := newStoreCluster(t, 1)
+	c.stores[0].SetMode(soak.ModeReset)
+	time.Sleep(2 * changeBound)
+	c.stores[0].SetMode(soak.ModePass)
+	c.waitFor("the configuration is confirmed again", func() bool {
+		return strings.Contains(c.logs.String(), "configuration confirmed again")
+	})
+	if got := strings.Count(c.logs.String(), "configuration unconfirmed"); got != 1 {
+		t.Errorf("got %d lines of an unconfirmed configuration, want 1", got)
+	}
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -64,8 +64,10 @@
 	incarnation atomic.Uint64
 	started     time.Time
 
-	table       atomic.Pointer[configuration]
-	freshness   *freshness.Tracker // of the active configuration
+	table     atomic.Pointer[configuration]
+	freshness *freshness.Tracker // of the active configuration
+	// applyWithin is the time in which a change must be active, in nanoseconds.
+	applyWithin atomic.Int64
 	split       routes.Splitter
 	fleet       *fleet.Fleet
 	sched       *scheduler.Scheduler
@@ -139,6 +141,7 @@
 	}
 	n.incarnation.Store(uint64(now.UnixMicro()))
 	n.grace.Store(int64(cfg.Grace))
+	n.applyWithin.Store(int64(cfg.ApplyWithin))
 	n.requestsCtx, n.cancelRequests = context.WithCancel(context.Background())
 	n.target = newTarget(n)
 	n.peers = newPeers(n)
@@ -191,6 +194,7 @@
 func (n *Node) Apply(cfg *settings.Sidecar) {
 	n.budget.setBound(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow)
 	n.grace.Store(int64(cfg.Grace))
+	n.applyWithin.Store(int64(cfg.ApplyWithin))
 	n.freshness.SetLimit(freshnessLimit(cfg.ApplyWithin))
 	n.log.Info("reload", "apply_within_ms", cfg.ApplyWithin.Milliseconds(),
 		"retry_ratio", cfg.RetryRatio, "retry_slack", cfg.RetrySlack,
