--- a/internal/sidecar/unresponsivelink_test.go
+++ b/internal/sidecar/unresponsivelink_test.go
@@ -5,7 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,16 +39,18 @@
 	const left = 6 * time.Second
 	held, release := make(chan string, 1), make(chan struct{})
 	complete := func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "complete answer") }
-	var first sync.Once
+	var reached atomic.Bool
 	far.up.set(func(rw http.ResponseWriter, r *http.Request) {
-		first.Do(func() {
-			held <- r.RequestURI
-			select {
-			case <-time.After(delay):
-			case <-r.Context().Done():
-			}
-		})
-		complete(rw, r)
+		if !reached.CompareAndSwap(false, true) {
+			complete(rw, r)
+			return
+		}
+		held <- r.RequestURI
+		select {
+		case <-time.After(delay):
+			complete(rw, r)
+		case <-r.Context().Done():
+		}
 	})
 	other.up.set(func(rw http.ResponseWriter, r *http.Request) {
 		<-release
