Logs tell failed reads of the configuration from reports that were held up

The line of an unconfirmed configuration says how many reads failed in a row and how long the wait after the last one was. A link estimates how long each control frame was held up, from the wall clocks of both ends, which count the time for which a VM is suspended; a report later than the read limit is logged. A frame carries the time of the age that it reports, not the time at which a full connection let it go. Nothing is decided by either yet.

--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"sync"
@@ -10,6 +11,7 @@
 
 	linkpb "heathershed/api/link"
 	"heathershed/internal/link/liveness"
+	"heathershed/internal/link/transit"
 	"heathershed/internal/ring"
 	"heathershed/internal/wait"
 )
@@ -46,6 +48,10 @@
 	// received.
 	sent     uint64
 	received uint64
+	// transit estimates the delays of the received frames; delay is that of the
+	// newest one.
+	transit transit.Estimator
+	delay   time.Duration
 	// opened is set once the handler knows of the session, ended once the
 	// session is over for the handler.
 	opened bool
@@ -81,6 +87,14 @@
 // Dialled reports whether this end opened the link.
 func (s *Session) Dialled() bool { return s.dialled }
 
+// Delay returns for how long the newest received frame was held up on its way,
+// compared with others of the recent past.
+func (s *Session) Delay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.delay
+}
+
 // Send queues a frame that carries updates. It returns false, and drops the
 // frame, if the queue is full. The digests in the next heartbeat let the peer
 // detect and fetch what it missed.
@@ -192,10 +206,11 @@
 }
 
 // transmit stamps and sends a frame. Frames are shared between sessions, so a
-// shallow copy is stamped.
+// shallow copy is stamped. A frame whose content is of an earlier time says so
+// itself.
 func (s *Session) transmit(f *linkpb.ControlFrame) error {
 	stamped := &linkpb.ControlFrame{
-		SentUnixUs:     time.Now().UnixMicro(),
+		SentUnixUs:     cmp.Or(f.SentUnixUs, time.Now().UnixMicro()),
 		SentHlc:        f.SentHlc,
 		Vm:             f.Vm,
 		Incarnation:    f.Incarnation,
@@ -245,6 +260,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.received = f.Sequence
+	s.delay = s.transit.Observe(now, now.UnixMicro(), f.SentUnixUs)
 	s.peer = Peer{VM: f.Vm, Incarnation: f.Incarnation}
 	s.detector.Received(now)
 	s.detector.Echo(now, f.Echo)
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	linkpb "heathershed/api/link"
+	"heathershed/internal/eventlog"
 	"heathershed/internal/freshness"
 	store "heathershed/internal/platform"
 	"heathershed/internal/wait"
@@ -43,22 +44,34 @@
 // freshnessLimit returns the age of a confirmation at which a read may be due.
 func freshnessLimit(applyWithin time.Duration) time.Duration { return applyWithin / freshnessParts }
 
+// reads describes the newest reads of the configuration for the log.
+type reads struct {
+	// failed counts the reads that failed one after the other.
+	failed int
+	// pause is the wait after the newest one that failed.
+	pause time.Duration
+}
+
 // runFreshness is the task that reads the configuration whenever no read of it,
 // here or at a linked node, is recent enough. It bounds the time until a change
 // is active, whatever happens to watches and links.
 func (n *Node) runFreshness(ctx context.Context) error {
 	backoff := newBackoff()
 	overdue := false
+	var newest reads
 	for ctx.Err() == nil {
-		overdue = n.logOverdue(overdue)
+		overdue = n.logOverdue(overdue, newest)
 		if left := time.Until(n.freshness.Due()); left > 0 {
 			n.readDue.Wait(ctx, left)
 			continue
 		}
 		if _, err := n.readConfiguration(ctx); err != nil {
-			_ = wait.For(ctx, backoff.Next())
+			newest.failed++
+			newest.pause = backoff.Next()
+			_ = wait.For(ctx, newest.pause)
 			continue
 		}
+		newest = reads{}
 		backoff.Reset()
 	}
 	return nil
@@ -67,13 +80,14 @@
 // logOverdue logs when the active configuration has not been confirmed for the
 // time in which a change must be active, and when it is confirmed again. It
 // takes and returns whether it was overdue.
-func (n *Node) logOverdue(before bool) bool {
+func (n *Node) logOverdue(before bool, newest reads) bool {
 	now := time.Now()
 	c, _ := n.freshness.Newest()
 	overdue := min(c.Age(now), now.Sub(n.started)) > time.Duration(n.applyWithin.Load())
 	switch {
 	case overdue && !before:
-		n.log.Warn("configuration unconfirmed", "active", n.freshnessText(now))
+		n.log.Warn("configuration unconfirmed", "active", n.freshnessText(now),
+			"reads_failed", newest.failed, "pause_ms", newest.pause.Milliseconds())
 	case before && !overdue:
 		n.log.Info("configuration confirmed again", "active", n.freshnessText(now))
 	}
@@ -203,15 +217,25 @@
 
 // noteFreshness records what another node reports of its newest read of the
 // configuration. It counts only if the active version is not older than what
-// that node had read.
-func (n *Node) noteFreshness(vm string, have *linkpb.Have) {
+// that node had read. heldUp is the delay of the report on its way.
+func (n *Node) noteFreshness(vm string, have *linkpb.Have, heldUp time.Duration) {
 	age := time.Duration(min(have.GetCatalogueAgeUs(), maxReportedAge)) * time.Microsecond
 	if age == 0 || have.GetCatalogueVersion() == 0 || n.lacks(have.GetCatalogueVersion()) {
 		return
 	}
+	n.logHeldUp(vm, heldUp)
 	n.freshness.Heard(freshness.Confirmation{At: time.Now().Add(-age), By: vm})
 }
 
+// logHeldUp logs a report of another node that was held up for longer than the
+// age at which a read may be due.
+func (n *Node) logHeldUp(vm string, heldUp time.Duration) {
+	const message = "report held up"
+	if heldUp > freshnessLimit(time.Duration(n.applyWithin.Load())) && eventlog.Allowed(n.log, message) {
+		n.log.Warn(message, "vm", vm, "held_up_ms", heldUp.Milliseconds())
+	}
+}
+
 // freshnessText describes for logs how old the knowledge is that the active
 // configuration is the newest.
 func (n *Node) freshnessText(now time.Time) string {
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -159,9 +159,10 @@
 	return f
 }
 
-// newFrame returns a control frame with the fields that every frame carries.
+// newFrame returns a control frame with the fields that every frame carries. Its
+// time is that of the age that it reports, however late it is sent.
 func (n *Node) newFrame() *linkpb.ControlFrame {
-	f := &linkpb.ControlFrame{Vm: n.cfg.VM, Incarnation: n.incarnation.Load(), Have: &linkpb.Have{}}
+	f := &linkpb.ControlFrame{Vm: n.cfg.VM, Incarnation: n.incarnation.Load(), Have: &linkpb.Have{}, SentUnixUs: time.Now().UnixMicro()}
 	read, ok := n.freshness.LastRead() // before the version, which may rise meanwhile
 	t := n.table.Load()
 	if t == nil {
@@ -285,7 +286,7 @@
 			n.adoptFromLink(f.Vm, d.Value)
 		}
 	}
-	n.noteFreshness(f.Vm, f.Have)
+	n.noteFreshness(f.Vm, f.Have, s.Delay())
 	if len(f.FetchDocuments) > 0 {
 		n.sendConfiguration(s)
 	}
--- a/internal/sidecar/unit_test.go
+++ b/internal/sidecar/unit_test.go
@@ -189,7 +189,7 @@
 		{5, 1000, true},
 	}
 	for _, c := range cases {
-		n.noteFreshness("other", &linkpb.Have{CatalogueVersion: c.version, CatalogueAgeUs: c.age})
+		n.noteFreshness("other", &linkpb.Have{CatalogueVersion: c.version, CatalogueAgeUs: c.age}, 0)
 		if _, got := n.freshness.Newest(); got != c.want {
 			t.Errorf("report of version %d, age %d us: got confirmed %v, want %v", c.version, c.age, got, c.want)
 		}
