--- a/internal/sidecar/configuration_test.go
+++ b/internal/sidecar/configuration_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"regexp"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -190,3 +193,81 @@
 		t.Errorf("got %d lines of an unconfirmed configuration, want 1", got)
 	}
 }
+
+// readTimes records when the reads of the configuration arrive at a store that
+// answers 429 to every call after the first read.
+type readTimes struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+func (r *readTimes) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, _ := platform.ParseObjectPath(req.URL.Path)
+	if at.Kind == platform.ConfigKind && !req.URL.Query().Has(platform.ArgWatch) {
+		r.times = append(r.times, time.Now())
+	}
+	if len(r.times) != 1 {
+		rw.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	_, _ = io.WriteString(rw, `{"items":[],"atRev":1}`)
+}
+
+// longestPause returns the longest time between two reads.
+func (r *readTimes) longestPause() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	longest := time.Duration(0)
+	for i := 1; i < len(r.times); i++ {
+		longest = max(longest, r.times[i].Sub(r.times[i-1]))
+	}
+	return longest
+}
+
+// TestNodeWithoutLinksReadsAgainSoonAfterAFailedRead guards against a pause after
+// a failed read that, after a read without an answer, lasts longer than the time
+// in which a change must be active once the store is back.
+func TestNodeWithoutLinksReadsAgainSoonAfterAFailedRead(t *testing.T) {
+	t.Parallel()
+	const (
+		away = 16 * time.Second
+		// unanswered is the time after which a call without an answer ends.
+		unanswered = 1500 * time.Millisecond
+	)
+	tc := newTestCluster(t)
+	reads := &readTimes{}
+	server := httptest.NewServer(reads)
+	t.Cleanup(server.Close)
+	m := tc.prepare("s", "west")
+	m.cfg.Platform = server.Listener.Addr().String()
+	m.run()
+	t.Cleanup(m.halt)
+	time.Sleep(away)
+	if got, most := reads.longestPause(), settleAfterFault-unanswered; got > most {
+		t.Errorf("pause of %v between two reads, want at most %v", got, most)
+	}
+}
+
+func TestHeaderLimitOfTheActiveVersionApplies(t *testing.T) {
+	t.Parallel()
+	tc := newTestCluster(t)
+	limited := func(version, headerBytes int) string {
+		return strings.Replace(platformtest.Config(version, "s"), `"maxBodyBytes"`, fmt.Sprintf(`"maxHeaderBytes":%d,"maxBodyBytes"`, headerBytes), 1)
+	}
+	tc.writeConfig(limited(1, 10000))
+	m := tc.start("s")
+	tc.waitFor("ready", m.ready)
+	m.heartbeat("s", "ready")
+	m.waitServing("/s/x")
+	path := "/s/" + strings.Repeat("x", 5000)
+	if got := m.request("GET", path, nil); got.status != http.StatusOK {
+		t.Fatalf("header within the limit: got %d %q, want 200", got.status, got.body)
+	}
+	tc.writeConfig(limited(2, 4000))
+	tc.waitFor("version 2", func() bool { return m.node.table.Load().Version == 2 })
+	if got := m.request("GET", path, nil); got.status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("header over the limit of version 2: got %d %q, want 431", got.status, got.body)
+	}
+}
--- a/internal/sidecar/unit_test.go
+++ b/internal/sidecar/unit_test.go
@@ -195,3 +195,21 @@
 		}
 	}
 }
+
+// TestHeldUpReportIsAsOldAsItIs guards against reports that a slow link delays
+// and that each push away the next read.
+func TestHeldUpReportIsAsOldAsItIs(t *testing.T) {
+	const (
+		age    = time.Second
+		heldUp = 3 * time.Second
+	)
+	n := New(&settings.Sidecar{VM: "own", Upstream: "127.0.0.1:1", Platform: "127.0.0.1:1", ApplyWithin: time.Second}, slog.New(slog.DiscardHandler))
+	if _, err := n.adopt("read", []byte(platformtest.Config(5, "s"))); err != nil {
+		t.Fatal(err)
+	}
+	n.noteFreshness("other", &linkpb.Have{CatalogueVersion: 5, CatalogueAgeUs: uint64(age.Microseconds())}, heldUp)
+	got, _ := n.freshness.Newest()
+	if now := time.Now(); got.Age(now) < age+heldUp {
+		t.Errorf("read of %v ago, report held up for %v: got a confirmation of %v ago", age, heldUp, got.Age(now))
+	}
+}
