A report of a read that was held up is as old as it is

What callers saw: refused, or handled, as an older version says, while the links of a node delay every frame. Cause: a report counted as if it had come at once. Each delayed one confirmed the configuration by up to the delay too long and pushed the next read away. Class: a fact whose age does not include its way. Why this works: the delay, which links estimate now, is added to the age, so the read is due by the time at which the reporting read began. Before: a report of a read 1 s ago, held up for 3 s, was a confirmation of 1 s ago; now of 4 s ago (TestHeldUpReportIsAsOldAsItIs, red before).

--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -224,7 +224,7 @@
 		return
 	}
 	n.logHeldUp(vm, heldUp)
-	n.freshness.Heard(freshness.Confirmation{At: time.Now().Add(-age), By: vm})
+	n.freshness.Heard(freshness.Confirmation{At: time.Now().Add(-age - heldUp), By: vm})
 }
 
 // logHeldUp logs a report of another node that was held up for longer than the
