A node with few links reads again soon after a failed read

What callers saw: refused as an older version says, on a node that hears little from others, up to 4.1 s after a store that was silent is back: a read without an answer ends after 1.5 s, and the pause after it was up to 2.6 s. Cause: the pause that spares a store in trouble took no notice of the time in which a change must be active. Class: a belief without somebody who asks in time. Why this works: the pause is bounded by the read limit times the nodes that read around here; a lone node reads within 0.5 s, a group of six or more as often as before, so the store in trouble gets no more calls from a fleet.

--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -44,6 +44,13 @@
 // freshnessLimit returns the age of a confirmation at which a read may be due.
 func freshnessLimit(applyWithin time.Duration) time.Duration { return applyWithin / freshnessParts }
 
+// maxReadPause returns the longest pause after a failed read. It grows with the
+// number of linked nodes, each of which reads too and reports what it has read, so
+// that the reads of a node and those around it stay as frequent.
+func maxReadPause(limit time.Duration, linked int) time.Duration {
+	return min(time.Duration(1+linked)*limit, maxBackoff)
+}
+
 // reads describes the newest reads of the configuration for the log.
 type reads struct {
 	// failed counts the reads that failed one after the other.
@@ -67,6 +74,7 @@
 		}
 		if _, err := n.readConfiguration(ctx); err != nil {
 			newest.failed++
+			backoff.Max = maxReadPause(freshnessLimit(time.Duration(n.applyWithin.Load())), n.peers.linked())
 			newest.pause = backoff.Next()
 			_ = wait.For(ctx, newest.pause)
 			continue
--- a/internal/sidecar/links.go
+++ b/internal/sidecar/links.go
@@ -172,6 +172,13 @@
 	return vms
 }
 
+// linked returns the number of wanted links that are up.
+func (p *peers) linked() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.wanted) - len(p.down)
+}
+
 // mostlyLinked reports whether most wanted links are up. If they are not, it
 // is more likely that this node is cut off than that the other nodes are gone.
 func (p *peers) mostlyLinked() bool {
--- a/internal/sidecar/unit_test.go
+++ b/internal/sidecar/unit_test.go
@@ -213,3 +213,12 @@
 		t.Errorf("read of %v ago, report held up for %v: got a confirmation of %v ago", age, heldUp, got.Age(now))
 	}
 }
+
+func TestPauseAfterAFailedReadGrowsWithTheLinks(t *testing.T) {
+	const limit = 500 * time.Millisecond
+	for linked, want := range map[int]time.Duration{0: limit, 1: 2 * limit, 4: 5 * limit, 5: maxBackoff, 1000: maxBackoff} {
+		if got := maxReadPause(limit, linked); got != want {
+			t.Errorf("%d links: got %v, want %v", linked, got, want)
+		}
+	}
+}
