The header limit of the active version is in force

What callers saw: the header size that a node accepts is a constant of 20 KiB, whatever the operators' limits say; a version that lowers it changes nothing. Cause: of a version's limits only that of the body was read after decoding. Why this works: each request is checked against the version that routes it; 431, and the answer names size, limit and version. Before: a header of 5,000 bytes got 200 under a limit of 4,000, now 431 (TestHeaderLimitOfTheActiveVersionApplies, red before).

--- a/internal/contract/verdict.go
+++ b/internal/contract/verdict.go
@@ -105,6 +105,9 @@
 	// ReasonUpstreamLimit: the upstream names a limit of requests a second, and
 	// the request can't be sent within it in time.
 	ReasonUpstreamLimit
+	// ReasonHeaderTooLarge: the request line and headers exceed the limit of the
+	// active configuration.
+	ReasonHeaderTooLarge
 
 	// NumReasons is the number of reasons, for arrays indexed by Reason.
 	NumReasons = iota
@@ -116,7 +119,7 @@
 	"link-lost", "upstream-refused", "upstream-failed", "partial-answer",
 	"cancelled", "retry-budget", "parent-ended", "order-running",
 	"order-unknown", "order-expired", "order-home", "stale-target", "ring-full",
-	"upstream-silent", "upstream-limit",
+	"upstream-silent", "upstream-limit", "header-too-large",
 }
 
 // String returns the value of the Heathershed-Reason header, or "unknown".
@@ -140,6 +143,8 @@
 			return 413
 		}
 		return 502
+	case ReasonHeaderTooLarge:
+		return 431
 	case ReasonLimit, ReasonRetryBudget:
 		return 429
 	case ReasonDeadline, ReasonCancelled:
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -148,6 +148,12 @@
 	return text + "\n"
 }
 
+// HeaderSize returns the size of a request's line and headers in bytes.
+func HeaderSize(h *fasthttp.RequestHeader) int {
+	const separators = len("  HTTP/1.1\r\n")
+	return len(h.Method()) + len(h.RequestURI()) + separators + len(h.RawHeaders())
+}
+
 // HasConflictingLengths reports whether a request has both a Content-Length and a
 // Transfer-Encoding. Two parsers that each read one of them would disagree on
 // where the body ends, which allows request smuggling.
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -136,8 +136,8 @@
 	if !ok {
 		return outcome.NotRunReply(contract.ReasonUnknownKind, n.noRouteDetail(table))
 	}
-	if limit := table.Limits.BodyBytes; limit > 0 && len(rc.Request.Body()) > limit {
-		return outcome.NotRunReply(contract.ReasonTooLarge, "request body over the limit")
+	if reply := checkLimits(&rc.Request, table.Table); reply != nil {
+		return reply
 	}
 	if route.Unavailable {
 		return outcome.NotRunReply(contract.ReasonNoUpstream, "the entry of the route can't be read")
@@ -147,6 +147,19 @@
 	return nil
 }
 
+// checkLimits returns the reply to a request that is over a limit of the
+// configuration, or nil.
+func checkLimits(req *fasthttp.Request, table *routes.Table) *linkpb.CallReply {
+	header := ingress.HeaderSize(&req.Header)
+	if limit := table.Limits.HeaderBytes; limit > 0 && header > limit {
+		return outcome.NotRunReply(contract.ReasonHeaderTooLarge, fmt.Sprintf("header of %d bytes, version %d allows %d", header, table.Version, limit))
+	}
+	if limit := table.Limits.BodyBytes; limit > 0 && len(req.Body()) > limit {
+		return outcome.NotRunReply(contract.ReasonTooLarge, fmt.Sprintf("body of %d bytes, version %d allows %d", len(req.Body()), table.Version, limit))
+	}
+	return nil
+}
+
 // noRouteDetail says by which version a request has no route, and how old the
 // knowledge is that it is the newest.
 func (n *Node) noRouteDetail(table *configuration) string {
@@ -238,7 +251,7 @@
 // sent again gets 503.
 func statusOf(v contract.Verdict, r contract.Reason) int {
 	switch r {
-	case contract.ReasonUnknownKind, contract.ReasonBadRequest, contract.ReasonTooLarge:
+	case contract.ReasonUnknownKind, contract.ReasonBadRequest, contract.ReasonTooLarge, contract.ReasonHeaderTooLarge:
 		return contract.Status(v, r)
 	}
 	switch {
