What is read for one answer, and held for all of them, is bounded

What callers saw: an upstream whose answer has no end costs the node's processor until the deadline, and twelve such answers at once more memory than the node has, which ends the requests of all others with it. A complete answer with a head over 4 KiB became a 502, for orders that ran too. A declared length or chunk size was allocated before a byte of it came. The head had to fit into the read buffer. Why this works: every byte read for an answer counts against the head, the body and a part for the framing. Bodies are read as a stream, and share the memory beyond 64 KiB each: one of known length waits for it, one of unknown length, which may have no end, fails if there is none left. A head may take 32 KiB.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,11 @@
 	retryBurst = 20
 )
 
+// answerMemoryDivisor gives the part of the memory that the bodies of answers may
+// hold together while they are read. Each of them is copied a few times before it
+// is delivered.
+const answerMemoryDivisor = 16
+
 // Node is one process beside an upstream. Its methods are safe for concurrent
 // use.
 type Node struct {
@@ -135,7 +140,7 @@
 		quota:         quota.New(time.Now),
 		pressure:      pressure.New(),
 		ratio:         retry.NewRatio(retryRatio, retryBurst),
-		upstream:      upstream.New(cfg.Upstream, cfg.Connections),
+		upstream:      upstream.New(cfg.Upstream, cfg.Connections, max(cfg.MemoryLimit/answerMemoryDivisor, link.MaxMessage)),
 		parents:       newParents(),
 		events:        timeline.NewRecorder(cfg.VM, cfg.TimelineEvents, time.Now),
 		metrics:       newMetrics(),
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -50,6 +50,9 @@
 	// clientIdleTimeout is how long a client's connection may stay idle. It is
 	// above the idle time that operators allow clients.
 	clientIdleTimeout = 60 * time.Second
+	// answerMemoryDivisor gives the part of the memory that answers may hold while
+	// they are read. Each of them is copied a few times before it is delivered.
+	answerMemoryDivisor = 16
 	// scrapeTimeout bounds reading the header of a request for metrics.
 	scrapeTimeout = 5 * time.Second
 )
@@ -127,7 +130,7 @@
 		started:       now,
 		fleet:         fleet.New(cfg.Datacentre),
 		sched:         scheduler.NewScheduler(),
-		upstream:      upstream.New(cfg.Upstream, maxIdleConns),
+		upstream:      upstream.New(cfg.Upstream, maxIdleConns, answerMemory(cfg.Memory)),
 		objects:       platform.NewObjectClient(cfg.Platform),
 		dedup:         newDedup(),
 		correlation:   correlation.New(),
@@ -153,6 +156,10 @@
 	return n
 }
 
+// answerMemory returns the bytes that the bodies of answers may hold together
+// while they are read, for a process that has the given memory.
+func answerMemory(memory int64) int64 { return max(memory/answerMemoryDivisor, maxAnswer) }
+
 // Run opens the listeners and runs all tasks until ctx ends or a task fails.
 // It returns nil after a graceful shutdown.
 func (n *Node) Run(ctx context.Context) error {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -11,14 +11,12 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"heathershed/internal/contract"
@@ -32,8 +30,6 @@
 	// maxIdleAgeOrder is the same for orders. It is shorter because an order
 	// cannot be retried if the upstream closes the connection as it is sent.
 	maxIdleAgeOrder = 2 * time.Second
-	// bufferSize is the size of each of a connection's two buffers in bytes.
-	bufferSize = 4096
 	// cancelOffset is how far in the past the connection's deadline is set to
 	// unblock a cancelled exchange.
 	cancelOffset = time.Millisecond
@@ -77,6 +73,7 @@
 type Client struct {
 	address string
 	maxIdle int
+	memory  *memory
 	dial    func(ctx context.Context, address string) (net.Conn, error)
 
 	mu   sync.Mutex
@@ -89,6 +86,9 @@
 	w       *bufio.Writer
 	usedAt  time.Time
 	written int
+	// readable is the number of bytes that may still be read for the current
+	// answer.
+	readable int
 	// keepAlive is how long the upstream keeps an idle connection open; 0 if
 	// unknown.
 	keepAlive time.Duration
@@ -131,12 +131,14 @@
 }
 
 // New returns a client that keeps up to maxIdle idle connections to the upstream
-// at address, an ip:port.
-func New(address string, maxIdle int) *Client {
+// at address, an ip:port. memory bounds the bytes that all bodies being read hold
+// together, but for a small part of each; it must be above 0.
+func New(address string, maxIdle int, memory int64) *Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	return &Client{
 		address: address,
 		maxIdle: maxIdle,
+		memory:  newMemory(memory),
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
@@ -156,7 +158,7 @@
 		}
 		return Outcome{Verdict: contract.NotRun, Reason: contract.ReasonUpstreamFailed, Detail: "connect: " + err.Error()}
 	}
-	out, reusable := exchange(ctx, cn, req, answer)
+	out, reusable := c.exchange(ctx, cn, req, answer)
 	if reusable {
 		c.put(cn)
 	} else {
@@ -167,7 +169,7 @@
 
 // exchange runs one request over the connection and reports whether the
 // connection can be reused.
-func exchange(ctx context.Context, cn *conn, req Request, answer *fasthttp.Response) (Outcome, bool) {
+func (c *Client) exchange(ctx context.Context, cn *conn, req Request, answer *fasthttp.Response) (Outcome, bool) {
 	cn.written = 0
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = cn.SetDeadline(deadline)
@@ -175,7 +177,7 @@
 		_ = cn.SetDeadline(time.Time{})
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Now().Add(-cancelOffset)) })
-	step, err := sendAndRead(cn, req, answer)
+	step, err := c.sendAndRead(ctx, cn, req, answer)
 	notCancelled := stop()
 	if err != nil && step == stepSend {
 		return failed(ctx, cn.written, step, err), false
@@ -186,6 +188,7 @@
 	framed := answer.Header.ContentLength() != untilClose
 	reusable := notCancelled && step == stepDone && framed && !answer.ConnectionClose() && cn.r.Buffered() == 0
 	cn.recordKeepAlive(answer)
+	cn.shrink()
 	if req.Classify != nil {
 		return req.Classify(answer), reusable
 	}
@@ -205,19 +208,19 @@
 // into the buffers on the way is sent while the answer is read, because an
 // upstream may answer before it has read the body, and then close the connection
 // or stop reading.
-func sendAndRead(cn *conn, req Request, answer *fasthttp.Response) (step string, err error) {
+func (c *Client) sendAndRead(ctx context.Context, cn *conn, req Request, answer *fasthttp.Response) (step string, err error) {
 	if len(req.HTTP.Body()) <= bufferSize {
 		if err := send(cn, req); err != nil {
 			return stepSend, err
 		}
-		if err := readMatching(cn.r, req, answer); err != nil {
+		if err := c.readMatching(ctx, cn, req, answer); err != nil {
 			return stepRead, err
 		}
 		return stepDone, nil
 	}
 	sent := make(chan error, 1)
 	go func() { sent <- send(cn, req) }()
-	if err := readMatching(cn.r, req, answer); err != nil {
+	if err := c.readMatching(ctx, cn, req, answer); err != nil {
 		_ = cn.Close() // sending the rest of the request is pointless
 		<-sent
 		return stepRead, err
@@ -234,66 +237,6 @@
 	return stepEarly, nil
 }
 
-// maxStale bounds the answers to earlier requests that are skipped.
-const maxStale = 2
-
-// errStaleAnswers is returned if only answers to other requests were received.
-var errStaleAnswers = errors.New("answers belong to other requests")
-
-// readMatching reads answers until one belongs to the request.
-func readMatching(r *bufio.Reader, req Request, answer *fasthttp.Response) error {
-	for range maxStale + 1 {
-		if err := read(r, req, answer); err != nil {
-			return err
-		}
-		if req.Matches == nil || req.Matches(answer) {
-			return nil
-		}
-		if answer.ConnectionClose() {
-			break
-		}
-	}
-	answer.Reset()
-	return errStaleAnswers
-}
-
-// errNoFraming is returned for an answer whose end cannot be distinguished from
-// a truncation.
-var errNoFraming = errors.New("answer with neither a length nor chunks")
-
-// untilClose is the content length that fasthttp reports for such an answer.
-const untilClose = -2
-
-// read reads an answer and rejects one whose end cannot be known. fasthttp's
-// ReadLimitBody alone would accept the close of the connection as the end.
-func read(r *bufio.Reader, req Request, answer *fasthttp.Response) error {
-	answer.Reset()
-	answer.SkipBody = true // head only; the body follows below
-	if err := answer.ReadLimitBody(r, req.MaxAnswer); err != nil {
-		return err
-	}
-	if req.HTTP.Header.IsHead() || !mayHaveBody(answer.StatusCode()) {
-		return nil
-	}
-	answer.SkipBody = false
-	length := answer.Header.ContentLength()
-	if length == untilClose && !req.AllowUntilClose {
-		return errNoFraming
-	}
-	if err := answer.ReadBody(r, req.MaxAnswer); err != nil {
-		return err
-	}
-	const chunked = -1
-	if length != chunked {
-		return nil
-	}
-	err := answer.Header.ReadTrailer(r)
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
-
 func send(cn *conn, req Request) error {
 	cn.w.Reset(cn)
 	if err := req.HTTP.Write(cn.w); err != nil {
@@ -321,10 +264,6 @@
 	return Outcome{Verdict: contract.Ran}
 }
 
-func mayHaveBody(status int) bool {
-	return status >= 200 && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
-}
-
 // retryAfter returns the wait that a refusing upstream asks for, from Heathershed's
 // own header in milliseconds or else from Retry-After in seconds.
 func retryAfter(answer *fasthttp.Response) time.Duration {
@@ -336,41 +275,3 @@
 	}
 	return 0
 }
-
-// readFailed returns the outcome of a request whose answer could not be read.
-func readFailed(ctx context.Context, written int, answer *fasthttp.Response, err error) Outcome {
-	out := failed(ctx, written, stepRead, err)
-	if out.Reason != contract.ReasonUpstreamFailed {
-		return out
-	}
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		out.Reason = contract.ReasonTooLarge
-	} else if errors.Is(err, errNoFraming) || answer.Header.ContentLength() != 0 || len(answer.Body()) > 0 {
-		out.Reason = contract.ReasonPartialAnswer
-	}
-	return out
-}
-
-// failed returns the outcome for an error of the connection. A request of which
-// no byte was written was not run.
-func failed(ctx context.Context, written int, step string, err error) Outcome {
-	verdict := contract.MayHaveRun
-	if written == 0 {
-		verdict = contract.NotRun
-	}
-	var timeout interface{ Timeout() bool } // fasthttp's timeout error is not a net.Error
-	if ctx.Err() != nil || (errors.As(err, &timeout) && timeout.Timeout()) {
-		return contextOutcome(ctx, verdict)
-	}
-	return Outcome{Verdict: verdict, Reason: contract.ReasonUpstreamFailed, Detail: step + ": " + err.Error()}
-}
-
-// contextOutcome returns the outcome of a request that was cancelled or that ran
-// into its deadline.
-func contextOutcome(ctx context.Context, verdict contract.Verdict) Outcome {
-	reason := contract.ReasonDeadline
-	if errors.Is(ctx.Err(), context.Canceled) {
-		reason = contract.ReasonCancelled
-	}
-	return Outcome{Verdict: verdict, Reason: reason}
-}
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -90,7 +90,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			client := New(serve(t, c.script), 4)
+			client := New(serve(t, c.script), 4, 1<<20)
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			if c.script.hang {
 				ctx, cancel = context.WithTimeout(t.Context(), 50*time.Millisecond)
@@ -115,7 +115,7 @@
 	address := ln.Addr().String()
 	_ = ln.Close()
 	var answer fasthttp.Response
-	out := New(address, 4).Do(t.Context(), get(true), &answer)
+	out := New(address, 4, 1<<20).Do(t.Context(), get(true), &answer)
 	if out.Verdict != contract.NotRun || out.Reason != contract.ReasonUpstreamFailed {
 		t.Fatalf("outcome: got %+v, want not-run upstream-failed", out)
 	}
@@ -125,7 +125,7 @@
 // already closed.
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
 	const answered = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
-	client := New(serve(t, script{reply: answered}, script{reply: answered}), 4)
+	client := New(serve(t, script{reply: answered}, script{reply: answered}), 4, 1<<20)
 	var answer fasthttp.Response
 	if out := client.Do(t.Context(), get(true), &answer); out.Verdict != contract.Ran {
 		t.Fatalf("first outcome: got %+v, want ran", out)
@@ -153,7 +153,7 @@
 // Guards against a cancelled request that blocks, and against reuse of its
 // connection, on which its answer may still arrive.
 func TestConnectionOfCancelledRequestIsNotReused(t *testing.T) {
-	client := New(serve(t, script{hang: true}), 4)
+	client := New(serve(t, script{hang: true}), 4, 1<<20)
 	ctx, cancel := context.WithCancel(t.Context())
 	context.AfterFunc(t.Context(), cancel)
 	go cancel()
@@ -188,7 +188,7 @@
 		"then kept open": {reply: refusal, hang: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			client := New(serve(t, s), 4)
+			client := New(serve(t, s), 4, 1<<20)
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			defer cancel()
 			req := get(true)
--- /dev/null
+++ b/internal/upstream/failure.go
@@ -0,0 +1,53 @@
+package upstream
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"heathershed/internal/contract"
+)
+
+// readFailed returns the outcome of a request whose answer could not be read.
+func readFailed(ctx context.Context, written int, answer *fasthttp.Response, err error) Outcome {
+	out := failed(ctx, written, stepRead, err)
+	if out.Reason != contract.ReasonUpstreamFailed {
+		return out
+	}
+	if isTooLarge(err) {
+		out.Reason = contract.ReasonTooLarge
+	} else if errors.Is(err, errNoFraming) || answer.Header.ContentLength() != 0 || len(answer.Body()) > 0 {
+		out.Reason = contract.ReasonPartialAnswer
+	}
+	return out
+}
+
+// isTooLarge reports whether an answer took more bytes or memory than it may.
+func isTooLarge(err error) bool {
+	return errors.IsAny(err, fasthttp.ErrBodyTooLarge, errTooManyBytes, errNoMemory)
+}
+
+// failed returns the outcome for an error of the connection. A request of which
+// no byte was written was not run.
+func failed(ctx context.Context, written int, step string, err error) Outcome {
+	verdict := contract.MayHaveRun
+	if written == 0 {
+		verdict = contract.NotRun
+	}
+	var timeout interface{ Timeout() bool } // fasthttp's timeout error is not a net.Error
+	if ctx.Err() != nil || (errors.As(err, &timeout) && timeout.Timeout()) {
+		return contextOutcome(ctx, verdict)
+	}
+	return Outcome{Verdict: verdict, Reason: contract.ReasonUpstreamFailed, Detail: step + ": " + err.Error()}
+}
+
+// contextOutcome returns the outcome of a request that was cancelled or that ran
+// into its deadline.
+func contextOutcome(ctx context.Context, verdict contract.Verdict) Outcome {
+	reason := contract.ReasonDeadline
+	if errors.Is(ctx.Err(), context.Canceled) {
+		reason = contract.ReasonCancelled
+	}
+	return Outcome{Verdict: verdict, Reason: reason}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -15,7 +15,7 @@
 		if cn == nil {
 			return c.open(ctx)
 		}
-		if time.Since(cn.usedAt) < cn.maxAge(order) && stillOpen(cn.Conn) {
+		if cn.usable(time.Now(), order) {
 			return cn, nil
 		}
 		_ = cn.Close()
@@ -28,7 +28,7 @@
 		return nil, err
 	}
 	cn := &conn{Conn: raw}
-	cn.r = bufio.NewReaderSize(raw, bufferSize)
+	cn.r = bufio.NewReaderSize(cn, bufferSize)
 	cn.w = bufio.NewWriterSize(cn, bufferSize)
 	return cn, nil
 }
@@ -59,6 +59,11 @@
 	}
 }
 
+// usable reports whether a request can be sent on an idle connection.
+func (c *conn) usable(now time.Time, order bool) bool {
+	return now.Sub(c.usedAt) < c.maxAge(order) && stillOpen(c.Conn)
+}
+
 // CloseIdle closes the idle connections. It is used at shutdown and when the
 // upstream was restarted.
 func (c *Client) CloseIdle() {
--- /dev/null
+++ b/internal/upstream/read.go
@@ -0,0 +1,141 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// bufferSize is the size of each of a connection's two buffers in bytes.
+	bufferSize = 4 << 10
+	// maxHead bounds the bytes of an answer before its body, those of answers
+	// before the final one included. It is above the header limits that operators
+	// set.
+	maxHead = 32 << 10
+	// maxStale bounds the answers to earlier requests that are skipped.
+	maxStale = 2
+	// framingDivisor gives the bytes that chunk sizes and extensions may take,
+	// as a part of the bound on the body.
+	framingDivisor = 8
+)
+
+// Content lengths that fasthttp reports for answers of unknown length.
+const (
+	chunked    = -1
+	untilClose = -2
+)
+
+var (
+	// errStaleAnswers is returned if only answers to other requests were received.
+	errStaleAnswers = errors.New("answers belong to other requests")
+	// errNoFraming is returned for an answer whose end cannot be distinguished
+	// from a truncation.
+	errNoFraming = errors.New("answer with neither a length nor chunks")
+	// errTooManyBytes is returned for an answer that takes more bytes than its
+	// head, body and framing may.
+	errTooManyBytes = errors.New("answer takes more bytes than allowed")
+)
+
+// Read reads from the connection. It fails once all bytes that the current answer
+// may take have been read.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.readable <= 0 {
+		return 0, errTooManyBytes
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.readable)])
+	c.readable -= n
+	return n, err
+}
+
+// enlarge replaces the read buffer by one that holds the largest head. What was
+// buffered is kept.
+func (c *conn) enlarge() {
+	buffered, _ := c.r.Peek(c.r.Buffered()) // never fails: it is buffered
+	kept := bytes.NewReader(bytes.Clone(buffered))
+	c.r = bufio.NewReaderSize(io.MultiReader(kept, c), maxHead)
+}
+
+// shrink replaces a read buffer that was enlarged and is empty by a small one.
+func (c *conn) shrink() {
+	if c.r.Size() > bufferSize && c.r.Buffered() == 0 {
+		c.r = bufio.NewReaderSize(c, bufferSize)
+	}
+}
+
+// readMatching reads answers until one belongs to the request.
+func (c *Client) readMatching(ctx context.Context, cn *conn, req Request, answer *fasthttp.Response) error {
+	for range maxStale + 1 {
+		if err := c.read(ctx, cn, req, answer); err != nil {
+			return err
+		}
+		if req.Matches == nil || req.Matches(answer) {
+			return nil
+		}
+		if answer.ConnectionClose() {
+			break
+		}
+	}
+	answer.Reset()
+	return errStaleAnswers
+}
+
+// read reads an answer and rejects one whose end cannot be known.
+func (c *Client) read(ctx context.Context, cn *conn, req Request, answer *fasthttp.Response) error {
+	cn.readable = maxHead
+	if err := readHead(cn, answer); err != nil {
+		return err
+	}
+	if req.HTTP.Header.IsHead() || !mayHaveBody(answer.StatusCode()) {
+		return nil
+	}
+	length := answer.Header.ContentLength()
+	if length == untilClose && !req.AllowUntilClose {
+		return errNoFraming
+	}
+	cn.readable += bodyBytes(length, req.MaxAnswer)
+	answer.SkipBody, answer.StreamBody = false, true
+	if err := answer.ReadBody(cn.r, req.MaxAnswer); err != nil { // opens the stream
+		return err
+	}
+	body, err := c.memory.readAll(ctx, answer.BodyStream(), length, req.MaxAnswer)
+	if closeErr := answer.CloseBodyStream(); err == nil {
+		err = closeErr
+	}
+	answer.StreamBody = false
+	answer.SetBodyRaw(body)
+	return err
+}
+
+// readHead reads the head of an answer.
+func readHead(cn *conn, answer *fasthttp.Response) error {
+	answer.Reset()
+	answer.SkipBody = true
+	err := answer.ReadLimitBody(cn.r, 0)
+	var small *fasthttp.ErrSmallBuffer
+	if errors.As(err, &small) && cn.r.Size() < maxHead {
+		cn.enlarge()
+		err = answer.ReadLimitBody(cn.r, 0)
+	}
+	return err
+}
+
+// bodyBytes returns the bytes that a body may take with its framing.
+func bodyBytes(length, most int) int {
+	switch {
+	case length >= 0:
+		return min(length, most)
+	case length == chunked:
+		return most + most/framingDivisor + maxHead
+	default:
+		return most + 1
+	}
+}
+
+func mayHaveBody(status int) bool {
+	return status >= 200 && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
+}
