A failure does not quote what the upstream sent

What callers saw: the 502 of a node, and its log, quoted up to 1.2 KB of the upstream's bytes, which may be of another caller's answer. Cause: the errors of the HTTP library contain the bytes they could not parse. Why this works: a failure is described by its kind; only errors of the network and of this package are told word for word.

--- a/internal/upstream/failure.go
+++ b/internal/upstream/failure.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -39,7 +41,27 @@
 	if ctx.Err() != nil || (errors.As(err, &timeout) && timeout.Timeout()) {
 		return contextOutcome(ctx, verdict)
 	}
-	return Outcome{Verdict: verdict, Reason: contract.ReasonUpstreamFailed, Detail: step + ": " + err.Error()}
+	return Outcome{Verdict: verdict, Reason: contract.ReasonUpstreamFailed, Detail: step + ": " + describe(err)}
+}
+
+// describe returns a text for an error that quotes nothing of what the upstream
+// sent, which may belong to another caller. The errors of the HTTP library quote
+// it.
+func describe(err error) string {
+	for _, own := range []error{errStaleAnswers, errNoFraming, errTooManyBytes, errNoMemory, fasthttp.ErrBodyTooLarge, io.ErrUnexpectedEOF, io.EOF} {
+		if errors.Is(err, own) {
+			return own.Error()
+		}
+	}
+	var network *net.OpError
+	if errors.As(err, &network) {
+		return network.Error()
+	}
+	var chunk fasthttp.ErrBrokenChunk
+	if errors.As(err, &chunk) {
+		return "chunks are invalid"
+	}
+	return "bytes are no answer"
 }
 
 // contextOutcome returns the outcome of a request that was cancelled or that ran
