Idle connections that can't be used any more are closed

What operators saw: an upstream that goes on sending after its answer keeps the connection, and the sender, busy until the connection is taken again. Cause: a connection in the pool was looked at only when it was taken. Why this works: each second all of them are checked; one that became readable, was closed by its upstream or is too old for any request is closed. Before: still open 2 s after the answer, now closed within 2 s; one over the idle time stayed, now closed (pool_test.go, both red before).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -270,6 +270,7 @@
 	group.Go(func() error { return n.runEditor(ctx) })
 	group.Go(func() error { return n.runAdmission(ctx) })
 	group.Go(func() error { return n.runHealth(ctx) })
+	group.Go(func() error { return n.upstream.RunIdle(ctx) })
 }
 
 // phase returns the current phase.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -183,6 +183,7 @@
 	group.Go(func() error { return n.peers.runLinks(running) })
 	group.Go(func() error { return n.runGauges(running) })
 	group.Go(func() error { return n.runRecord(running) })
+	group.Go(func() error { return n.upstream.RunIdle(running) })
 	done := make(chan error, 1)
 	go func() { done <- group.Wait() }()
 	cause := n.awaitStop(ctx, running)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,10 +4,14 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 )
 
+// idleCheckInterval is how often the idle connections are checked.
+const idleCheckInterval = time.Second
+
 // take returns an idle connection that is still open, or a new one.
 func (c *Client) take(ctx context.Context, order bool) (*conn, error) {
 	for {
@@ -64,6 +68,35 @@
 	return now.Sub(c.usedAt) < c.maxAge(order) && stillOpen(c.Conn)
 }
 
+// RunIdle closes idle connections that can't be used any more, until ctx ends. An
+// upstream may send into them without end.
+func (c *Client) RunIdle(ctx context.Context) error {
+	ticker := time.NewTicker(idleCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			c.closeUnusable(now)
+		}
+	}
+}
+
+// closeUnusable closes the idle connections that can't be used any more.
+func (c *Client) closeUnusable(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = slices.DeleteFunc(c.idle, func(cn *conn) bool {
+		const order = false // a lookup may use a connection for longer
+		if cn.usable(now, order) {
+			return false
+		}
+		_ = cn.Close()
+		return true
+	})
+}
+
 // CloseIdle closes the idle connections. It is used at shutdown and when the
 // upstream was restarted.
 func (c *Client) CloseIdle() {
