What is read for one request is bounded on each listener

What operators saw: a request whose chunk extension has no end was read until the time-out of the ingress, and for ever by the listeners for heartbeats and readiness, which had no time-out and take 4 MB of body. Cause: the HTTP library bounds header and body; what belongs to neither is read and dropped. Why this works: a connection counts what is read between two answers, on every listener that serves HTTP; heartbeats and readiness checks have a time and a small body.

--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -13,11 +13,16 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"heathershed/internal/endpoint"
 )
 
 const (
 	// maxBody bounds the body of a request in bytes before its kind is known.
 	maxBody = 8 << 20
+	// maxRequest bounds what is read for one request in bytes: the body, an eighth
+	// of that for chunk sizes and extensions, and the header.
+	maxRequest = maxBody + maxBody/8 + 64<<10
 	// readTimeout bounds the time that a caller takes to send a request.
 	readTimeout = 10 * time.Second
 	// writeTimeout bounds the time that a caller takes to read an answer.
@@ -91,7 +96,7 @@
 
 // Serve accepts connections on ln until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(watchedListener{ln})
+	return s.http.Serve(watchedListener{endpoint.Bounded(ln, maxRequest)})
 }
 
 // Drain moves callers to other nodes: from now on each answer closes its
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -53,6 +53,12 @@
 	// answerMemoryDivisor gives the part of the memory that answers may hold while
 	// they are read. Each of them is copied a few times before it is delivered.
 	answerMemoryDivisor = 16
+	// platformBody bounds the body of a heartbeat or of a readiness check, and
+	// platformRequest all that is read for one, in bytes.
+	platformBody    = 16 << 10
+	platformRequest = 64 << 10
+	// platformReadTimeout bounds the time to receive one.
+	platformReadTimeout = 5 * time.Second
 	// scrapeTimeout bounds reading the header of a request for metrics.
 	scrapeTimeout = 5 * time.Second
 )
@@ -149,13 +155,26 @@
 	n.target = newTarget(n)
 	n.peers = newPeers(n)
 	n.ingress = ingress.NewWithOptions(ingress.Options{HeaderBytes: maxHeaderBytes, IdleTimeout: clientIdleTimeout, Log: connLog{log}}, n.serveClient)
-	n.ready = &fasthttp.Server{Handler: n.serveReady, NoDefaultServerHeader: true, Logger: connLog{log}}
-	n.heartbeats = &fasthttp.Server{Handler: n.serveHeartbeat, NoDefaultServerHeader: true, Logger: connLog{log}}
+	n.ready = newPlatformServer(n.serveReady, log)
+	n.heartbeats = newPlatformServer(n.serveHeartbeat, log)
 	n.metricsServer = &http.Server{Handler: n.metrics.handler(), ReadHeaderTimeout: scrapeTimeout}
 	n.linkServer = link.NewServer(n, &n.traffic)
 	return n
 }
 
+// newPlatformServer returns a server for the platform's own requests: readiness
+// checks and heartbeats.
+func newPlatformServer(handle fasthttp.RequestHandler, log *slog.Logger) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:               handle,
+		MaxRequestBodySize:    platformBody,
+		ReadTimeout:           platformReadTimeout,
+		IdleTimeout:           clientIdleTimeout,
+		NoDefaultServerHeader: true,
+		Logger:                connLog{log},
+	}
+}
+
 // answerMemory returns the bytes that the bodies of answers may hold together
 // while they are read, for a process that has the given memory.
 func answerMemory(memory int64) int64 { return max(memory/answerMemoryDivisor, maxAnswer) }
@@ -175,8 +194,8 @@
 	n.links = link.NewSet(running, group, n, &n.traffic, endpoint.Dial)
 	group.Go(func() error { return n.ingress.Serve(l.clients) })
 	group.Go(func() error { return n.linkServer.Serve(l.link) })
-	group.Go(func() error { return n.ready.Serve(l.ready) })
-	group.Go(func() error { return n.heartbeats.Serve(l.heartbeats) })
+	group.Go(func() error { return n.ready.Serve(endpoint.Bounded(l.ready, platformRequest)) })
+	group.Go(func() error { return n.heartbeats.Serve(endpoint.Bounded(l.heartbeats, platformRequest)) })
 	group.Go(func() error { return n.serveMetrics(l.metrics) })
 	group.Go(func() error { return n.runWatch(running) })
 	group.Go(func() error { return n.runFreshness(running) })
