--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -1,8 +1,10 @@
 package sidecar
 
 import (
+	"bytes"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -88,3 +90,38 @@
 	}
 	return sent, time.Since(began)
 }
+
+// TestUpstreamWithoutEndDoesNotHarmOtherRequests sends requests to an upstream
+// whose answers have no end, beside it and over a link, and others meanwhile.
+func TestUpstreamWithoutEndDoesNotHarmOtherRequests(t *testing.T) {
+	t.Parallel()
+	_, near, far := startPair(t)
+	far.up.set(func(rw http.ResponseWriter, _ *http.Request) {
+		for text := bytes.Repeat([]byte("a"), 64<<10); ; {
+			if _, err := rw.Write(text); err != nil {
+				return
+			}
+		}
+	})
+	const atOnce = 8
+	ended := make(chan answer, 2*atOnce)
+	began := time.Now()
+	for range atOnce {
+		go func() { ended <- near.request("GET", "/far/x", nil) }()
+		go func() { ended <- far.request("GET", "/far/x", nil) }()
+	}
+	for len(ended) < cap(ended) && time.Since(began) < 2*time.Second {
+		if got := near.request("GET", "/near/x", nil); got.status != http.StatusOK {
+			t.Errorf("request to another upstream: got %+v, want 200", got)
+		}
+	}
+	for range cap(ended) {
+		got := <-ended
+		if got.err == nil && (got.status == http.StatusOK || strings.Contains(got.body, "aaaa")) {
+			t.Errorf("answer without end: got status %d and %.20q, want neither a success nor its bytes", got.status, got.body)
+		}
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("answers without end kept their callers for %v, want at most 2 s", took)
+	}
+}
