--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -78,15 +78,15 @@
 	}
 }
 
-// TestFewOfManyNodesRead simulates fleets in which each read is reported to all
-// other nodes after a delay.
+// TestFewOfManyNodesRead simulates fleets in which each read is reported to the
+// linked nodes after a delay. Node i is linked with those around it in a ring.
 func TestFewOfManyNodesRead(t *testing.T) {
 	const (
 		delay  = 2 * time.Millisecond
 		length = 10 * time.Second
 	)
-	for _, nodes := range []int{1, 6, 60, 300} {
-		trackers := make([]*Tracker, nodes)
+	for _, c := range []struct{ nodes, links int }{{1, 0}, {6, 5}, {60, 59}, {300, 299}, {300, 48}, {600, 48}} {
+		trackers := make([]*Tracker, c.nodes)
 		for i := range trackers {
 			trackers[i] = New(limit, start)
 		}
@@ -98,17 +98,19 @@
 				}
 				reads++
 				tr.Read(now)
-				for k, other := range trackers {
-					if k != i && now.Add(delay).Before(other.Due()) {
+				for k := 1; k <= c.links; k++ {
+					other := trackers[(i+c.nodes-c.links/2+k)%c.nodes]
+					if other != tr && now.Add(delay).Before(other.Due()) {
 						other.Heard(Confirmation{At: now})
 					}
 				}
 			}
 		}
 		rate := float64(reads) / length.Seconds()
-		t.Logf("%d nodes: %.1f reads a second", nodes, rate)
-		if most := 3 / limit.Seconds(); rate > most {
-			t.Errorf("%d nodes: got %.1f reads a second, want at most %.0f", nodes, rate, most)
+		t.Logf("%d nodes with %d links: %.1f reads a second", c.nodes, c.links, rate)
+		groups := float64(c.nodes) / float64(c.links+1)
+		if most := 3 * groups / limit.Seconds(); rate > most {
+			t.Errorf("%d nodes with %d links: got %.1f reads a second, want at most %.0f", c.nodes, c.links, rate, most)
 		}
 	}
 }
