A new version's weights are in force at once

What callers saw: handled as an older version says. A service whose weight the new version sets to 0 went on getting requests, and shares stayed off, where the sum of the weights had been larger: the split went on from what each service was owed under the older weights. Cause: the counters of a split were kept by the route's name and the number of its services. Class: state of an older version that outlives it. Why this works: counters belong to services and weights; others begin anew. They are no longer all dropped at each request once 4,096 routes have some. Before: after 3 requests by 900 to 100, a request by 0 to 1 went to the first; 20 requests by 1 to 1 all went to one (routes_test.go, both red before).

--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -1,6 +1,7 @@
 package routes
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 )
@@ -76,3 +77,52 @@
 		t.Fatalf("20 requests: got %v, want 18, 2 and 0", count)
 	}
 }
+
+func TestServiceWithoutWeightGetsNoRequestsByOlderWeights(t *testing.T) {
+	var s Splitter
+	before := &Route{Name: "r", Services: []WeightedService{{"a", 900}, {"b", 100}}}
+	after := &Route{Name: "r", Services: []WeightedService{{"a", 0}, {"b", 1}}}
+	for used := range 20 {
+		for range used {
+			s.Next(before)
+		}
+		for range 100 {
+			if got := s.Next(after); got != "b" {
+				t.Fatalf("after %d requests by older weights: got service %s, want b", used, got)
+			}
+		}
+	}
+}
+
+func TestSharesFollowNewWeightsAtOnce(t *testing.T) {
+	var s Splitter
+	before := &Route{Name: "r", Services: []WeightedService{{"a", 900}, {"b", 100}}}
+	after := &Route{Name: "r", Services: []WeightedService{{"a", 1}, {"b", 1}}}
+	for range 5 {
+		s.Next(before)
+	}
+	count := make(map[string]int)
+	for range 20 {
+		count[s.Next(after)]++
+	}
+	if count["a"] != 10 || count["b"] != 10 {
+		t.Errorf("20 requests by new weights: got %v, want 10 each", count)
+	}
+}
+
+func TestSharesHoldForAsManyRoutesAsAreTracked(t *testing.T) {
+	var s Splitter
+	all := make([]*Route, maxTracked)
+	for i := range all {
+		all[i] = &Route{Name: strconv.Itoa(i), Services: []WeightedService{{"a", 2}, {"b", 1}}}
+	}
+	count := make(map[string]int)
+	for range 3 {
+		for _, r := range all {
+			count[s.Next(r)]++
+		}
+	}
+	if count["a"] != 2*maxTracked || count["b"] != maxTracked {
+		t.Errorf("three requests on each of %d routes: got %v, want a third at b", maxTracked, count)
+	}
+}
--- a/internal/routes/split.go
+++ b/internal/routes/split.go
@@ -1,6 +1,9 @@
 package routes
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 // maxTracked bounds the routes for which a Splitter keeps state.
 const maxTracked = 4096
@@ -10,24 +13,26 @@
 // Splitter is ready to use. It is safe for concurrent use.
 type Splitter struct {
 	mu     sync.Mutex
-	credit map[string][]int // per service of a route, by the route's name
+	routes map[string]*split // by the route's name
 }
 
-// Next returns the service for the next request of the route.
+// split is the state of one route.
+type split struct {
+	services []WeightedService
+	// credit has the requests that each service is owed, times the sum of the
+	// weights.
+	credit []int
+}
+
+// Next returns the service for the next request of the route. Requests that were
+// distributed by other services or weights do not count.
 func (s *Splitter) Next(r *Route) string {
 	if len(r.Services) == 1 {
 		return r.Services[0].Service
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.credit == nil || len(s.credit) >= maxTracked {
-		s.credit = make(map[string][]int)
-	}
-	credit := s.credit[r.Name]
-	if len(credit) != len(r.Services) {
-		credit = make([]int, len(r.Services))
-		s.credit[r.Name] = credit
-	}
+	credit := s.creditOf(r)
 	best, total := 0, 0
 	for i, ws := range r.Services {
 		credit[i] += ws.Weight
@@ -39,3 +44,17 @@
 	credit[best] -= total
 	return r.Services[best].Service
 }
+
+// creditOf returns the credit of a route's services. The caller holds the lock.
+func (s *Splitter) creditOf(r *Route) []int {
+	known := s.routes[r.Name]
+	if known != nil && slices.Equal(known.services, r.Services) {
+		return known.credit
+	}
+	if s.routes == nil || len(s.routes) >= maxTracked {
+		s.routes = make(map[string]*split)
+	}
+	known = &split{services: r.Services, credit: make([]int, len(r.Services))}
+	s.routes[r.Name] = known
+	return known.credit
+}
