--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 
 	linkpb "heathershed/api/link"
-	"heathershed/internal/eventlog"
 	"heathershed/internal/freshness"
 	store "heathershed/internal/platform"
 	"heathershed/internal/wait"
@@ -33,6 +32,9 @@
 	// is due one to two parts after the newest one; the rest is for the read and
 	// its report.
 	freshnessParts = 4
+	// heldUpInterval is the least time between two lines of reports that were held
+	// up. After a clock has jumped, all reports of its VM seem to be.
+	heldUpInterval = 10 * time.Second
 	// maxReportedAge bounds the age of a read that another node reports, in
 	// microseconds.
 	maxReportedAge = uint64(time.Hour / time.Microsecond)
@@ -236,11 +238,16 @@
 }
 
 // logHeldUp logs a report of another node that was held up for longer than the
-// age at which a read may be due.
+// age at which a read may be due, one in heldUpInterval.
 func (n *Node) logHeldUp(vm string, heldUp time.Duration) {
-	const message = "report held up"
-	if heldUp > freshnessLimit(time.Duration(n.applyWithin.Load())) && eventlog.Allowed(n.log, message) {
-		n.log.Warn(message, "vm", vm, "held_up_ms", heldUp.Milliseconds())
+	if heldUp <= freshnessLimit(time.Duration(n.applyWithin.Load())) {
+		return
+	}
+	now := int64(time.Since(n.started))
+	last := n.heldUpLogged.Load()
+	due := last == 0 || now-last >= int64(heldUpInterval)
+	if due && n.heldUpLogged.CompareAndSwap(last, now) {
+		n.log.Warn("report held up", "vm", vm, "held_up_ms", heldUp.Milliseconds())
 	}
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -77,19 +77,22 @@
 	freshness *freshness.Tracker // of the active configuration
 	// applyWithin is the time in which a change must be active, in nanoseconds.
 	applyWithin atomic.Int64
-	split       routes.Splitter
-	fleet       *fleet.Fleet
-	sched       *scheduler.Scheduler
-	upstream    *upstream.Client
-	objects     *platform.ObjectClient
-	target      *target
-	dedup       *dedup
-	correlation *correlation.Tracker
-	callers     *callers.Tracker
-	pressure    *pressure.Table
-	budget      *budget
-	metrics     *metrics
-	peers       *peers
+	// heldUpLogged is when the newest report that was held up was logged, in
+	// nanoseconds since the start; 0 for never.
+	heldUpLogged atomic.Int64
+	split        routes.Splitter
+	fleet        *fleet.Fleet
+	sched        *scheduler.Scheduler
+	upstream     *upstream.Client
+	objects      *platform.ObjectClient
+	target       *target
+	dedup        *dedup
+	correlation  *correlation.Tracker
+	callers      *callers.Tracker
+	pressure     *pressure.Table
+	budget       *budget
+	metrics      *metrics
+	peers        *peers
 
 	ingress       *ingress.Server
 	ready         *fasthttp.Server
--- a/internal/sidecar/unit_test.go
+++ b/internal/sidecar/unit_test.go
@@ -1,10 +1,12 @@
 package sidecar
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -214,6 +216,23 @@
 	}
 }
 
+func TestReportsThatAreHeldUpAreLoggedOnce(t *testing.T) {
+	var log bytes.Buffer
+	n := New(&settings.Sidecar{VM: "own", Upstream: "127.0.0.1:1", Platform: "127.0.0.1:1", ApplyWithin: time.Second}, slog.New(slog.NewTextHandler(&log, nil)))
+	for range 5 {
+		n.logHeldUp("other", time.Millisecond)
+	}
+	if log.Len() > 0 {
+		t.Errorf("reports in time: got %q, want no line", log.String())
+	}
+	for range 5 {
+		n.logHeldUp("other", time.Second)
+	}
+	if got := strings.Count(log.String(), "report held up"); got != 1 {
+		t.Errorf("five reports that were held up: got %d lines, want 1", got)
+	}
+}
+
 func TestPauseAfterAFailedReadGrowsWithTheLinks(t *testing.T) {
 	const limit = 500 * time.Millisecond
 	for linked, want := range map[int]time.Duration{0: limit, 1: 2 * limit, 4: 5 * limit, 5: maxBackoff, 1000: maxBackoff} {
