--- a/internal/endpoint/bounded.go
+++ b/internal/endpoint/bounded.go
@@ -10,9 +10,9 @@
 // errTooManyBytes ends a connection that sends more than one request may take.
 var errTooManyBytes = errors.New("endpoint: request takes more bytes than allowed")
 
-// Bounded wraps a listener whose connections each carry one request after the
-// other. It bounds the bytes that are read for one request, its framing included:
-// those between two writes.
+// Bounded wraps a listener of a server that reads one request, writes its answer
+// and then reads the next. It bounds the bytes that are read for one request, all
+// of its framing included.
 func Bounded(l net.Listener, bytes int64) net.Listener { return boundedListener{l, bytes} }
 
 type boundedListener struct {
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -206,8 +206,8 @@
 }
 
 // transmit stamps and sends a frame. Frames are shared between sessions, so a
-// shallow copy is stamped. A frame whose content is of an earlier time says so
-// itself.
+// shallow copy is stamped. A frame that has a time already, that of its content,
+// keeps it.
 func (s *Session) transmit(f *linkpb.ControlFrame) error {
 	stamped := &linkpb.ControlFrame{
 		SentUnixUs:     cmp.Or(f.SentUnixUs, time.Now().UnixMicro()),
--- a/internal/routes/split.go
+++ b/internal/routes/split.go
@@ -19,8 +19,8 @@
 // split is the state of one route.
 type split struct {
 	services []WeightedService
-	// credit has the requests that each service is owed, times the sum of the
-	// weights.
+	// credit is, for each service, its share of the requests so far less those
+	// that it got, times the sum of the weights.
 	credit []int
 }
 
