Logs and metrics tell a threshold that swings from trees that die in a queue

Neither the threshold over time nor where call trees begin to fail could be read from logs or metrics.

The log line 'threshold moved' gives its path with the demand that moved it, client_requests counts whole trees by their end, nested_calls_failed the calls with which a tree began to fail, by reason, and door_demand the work offered. No decision changes.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -71,6 +71,7 @@
 	n.writeReply(rc, c, reply)
 	took := time.Since(began)
 	n.metrics.calls.Record(reply, took)
+	n.metrics.countEnd(c, reply)
 	n.logEnd(c, reply, took)
 }
 
--- a/internal/sidecar/logs.go
+++ b/internal/sidecar/logs.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"time"
@@ -12,6 +13,8 @@
 	"heathershed/internal/contract"
 	"heathershed/internal/eventlog"
 	"heathershed/internal/link"
+	"heathershed/internal/vm/scheduler"
+	"heathershed/internal/wait"
 )
 
 // sampleEvery is the sampling rate of successful requests: one in sampleEvery
@@ -97,6 +100,38 @@
 		"level", c.level, "threshold", threshold)
 }
 
+const (
+	// thresholdInterval is how often the threshold of the local scheduler is
+	// compared with the one that was logged last.
+	thresholdInterval = 500 * time.Millisecond
+	// thresholdStep is the change of the threshold that is logged, in priority
+	// levels.
+	thresholdStep = 128
+)
+
+// runThresholdLog is the task that logs how the threshold of the local
+// scheduler moves.
+func (n *Node) runThresholdLog(ctx context.Context) error {
+	logged := contract.Level(0)
+	for wait.For(ctx, thresholdInterval) == nil {
+		logged = n.logThreshold(n.sched.Load(time.Now(), ""), logged)
+	}
+	return nil
+}
+
+// logThreshold logs the threshold if it differs by thresholdStep or more from
+// the one that was logged last, or has returned to 0. It returns the one that
+// was logged last.
+func (n *Node) logThreshold(load scheduler.Load, logged contract.Level) contract.Level {
+	change := max(load.Threshold, logged) - min(load.Threshold, logged)
+	if change < thresholdStep && (load.Threshold > 0 || logged == 0) {
+		return logged
+	}
+	n.log.Info("threshold moved", "threshold", load.Threshold, "from", logged, "demand", load.Demand,
+		"in_flight", load.InFlight, "waiting", load.Waiting, "slots", load.Slots)
+	return load.Threshold
+}
+
 // logRetry logs that a call is sent again, with the outcome that allows it.
 // Retries of calls that reached no upstream are sampled.
 func (n *Node) logRetry(c *call, vm string, reply *linkpb.CallReply, arrived int) {
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -9,7 +9,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
+	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
+	"heathershed/internal/outcome"
 	"heathershed/internal/telemetry"
 	"heathershed/internal/vm/instance"
 	"heathershed/internal/wait"
@@ -30,11 +32,13 @@
 	calls         *telemetry.Calls
 	rejected      [contract.NumReasons]tally.Counter
 	retries       tally.Counter
+	clients       [numClientEnds]tally.Counter
+	nestedFailed  [contract.NumReasons]tally.Counter
 	wait          tally.Histogram
 	service       tally.Histogram
 	store         map[storeOutcome]tally.Counter
 
-	inFlight, waiting, slots, threshold, version, age, upstreams, limited, limit tally.Gauge
+	inFlight, waiting, slots, threshold, demand, version, age, upstreams, limited, limit tally.Gauge
 }
 
 // storeOutcome identifies a counter of calls to the object API: the call, and
@@ -57,6 +61,7 @@
 		waiting:       scope.Gauge("door_waiting"),
 		slots:         scope.Gauge("door_slots"),
 		threshold:     scope.Gauge("door_threshold"),
+		demand:        scope.Gauge("door_demand"),
 		version:       scope.Gauge("configuration_version"),
 		age:           scope.Gauge("configuration_age_seconds"),
 		upstreams:     scope.Gauge("upstreams_usable"),
@@ -64,7 +69,12 @@
 		limit:         scope.Gauge("upstream_limit"),
 	}
 	for r := range m.rejected {
-		m.rejected[r] = scope.Tagged(map[string]string{"reason": contract.Reason(r).String()}).Counter("door_refused")
+		byReason := scope.Tagged(map[string]string{"reason": contract.Reason(r).String()})
+		m.rejected[r] = byReason.Counter("door_refused")
+		m.nestedFailed[r] = byReason.Counter("nested_calls_failed")
+	}
+	for end, name := range clientEndNames {
+		m.clients[end] = scope.Tagged(map[string]string{"end": name}).Counter("client_requests")
 	}
 	for _, call := range []string{callConfiguration, callList, callRead, callWrite} {
 		for failed, outcome := range map[bool]string{false: "ok", true: "failed"} {
@@ -93,6 +103,45 @@
 	m.limit.Update(notice.Limit)
 }
 
+// clientEnd is how a client's request, and so its call tree, ended.
+type clientEnd uint8
+
+const (
+	clientServed         clientEnd = iota
+	clientRejected                 // with the verdict "not run"
+	clientUpstreamFailed           // the upstream answered with a status of 500 or more
+	clientFailed                   // any other end
+
+	numClientEnds
+)
+
+var clientEndNames = [numClientEnds]string{"served", "rejected", "upstream_failed", "failed"}
+
+// countEnd counts the end of a request on the ingress. Of a nested call it
+// counts a failure that began with this call: a failed answer of its upstream
+// was counted where it began.
+func (m *metrics) countEnd(c *call, reply *linkpb.CallReply) {
+	if !c.inner {
+		m.clients[clientEndOf(reply)].Inc(1)
+		return
+	}
+	if !outcome.Ran(reply) && reply.Reason < contract.NumReasons {
+		m.nestedFailed[reply.Reason].Inc(1)
+	}
+}
+
+func clientEndOf(reply *linkpb.CallReply) clientEnd {
+	switch {
+	case succeeded(reply):
+		return clientServed
+	case outcome.Ran(reply):
+		return clientUpstreamFailed
+	case contract.Verdict(reply.Verdict) == contract.NotRun:
+		return clientRejected
+	}
+	return clientFailed
+}
+
 // countRejected counts a request that the scheduler rejected.
 func (m *metrics) countRejected(r contract.Reason) { m.rejected[r].Inc(1) }
 
@@ -119,6 +168,7 @@
 		n.metrics.waiting.Update(float64(load.Waiting))
 		n.metrics.slots.Update(float64(load.Slots))
 		n.metrics.threshold.Update(float64(load.Threshold))
+		n.metrics.demand.Update(load.Demand)
 		if t := n.table.Load(); t != nil {
 			n.metrics.version.Update(float64(t.Version))
 		}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -204,6 +204,7 @@
 	group.Go(func() error { return n.runFreshness(running) })
 	group.Go(func() error { return n.peers.runLinks(running) })
 	group.Go(func() error { return n.runGauges(running) })
+	group.Go(func() error { return n.runThresholdLog(running) })
 	group.Go(func() error { return n.runRecord(running) })
 	group.Go(func() error { return n.upstream.RunIdle(running) })
 	done := make(chan error, 1)
--- a/internal/vm/scheduler/controller.go
+++ b/internal/vm/scheduler/controller.go
@@ -63,6 +63,8 @@
 	Cold bool
 	// Threshold is the priority level below which requests should not be sent.
 	Threshold contract.Level
+	// Demand is the recent mean of the work offered, as a share of the slots.
+	Demand float64
 	// PaceWait is how long a request that arrives now would wait for the limit
 	// that the upstream names.
 	PaceWait time.Duration
--- a/internal/vm/scheduler/scheduler.go
+++ b/internal/vm/scheduler/scheduler.go
@@ -154,6 +154,7 @@
 	s.c.updateThreshold(now)
 	return Load{
 		Threshold: s.c.threshold(now),
+		Demand:    s.c.shedder.demand,
 		PaceWait:  s.c.pacer.wait(now, len(s.c.queue)+1),
 		InFlight:  s.c.inFlight,
 		Waiting:   len(s.c.queue),
