--- a/internal/vm/correlation/correlation.go
+++ b/internal/vm/correlation/correlation.go
@@ -191,16 +191,17 @@
 }
 
 // nearest returns the running request, of another route, with the nearest
-// deadline within the tolerances.
+// deadline within the tolerances; of several the one that began first.
 func (t *Tracker) nearest(deadline time.Time, name string) (p Parent, found bool) {
 	distance := lateTolerance + earlyTolerance
-	for _, r := range t.running {
+	first := uint64(0)
+	for number, r := range t.running {
 		diff := deadline.Sub(r.Deadline)
 		if r.Kind == name || diff < -earlyTolerance || diff > lateTolerance {
 			continue
 		}
-		if diff = max(diff, -diff); diff < distance {
-			p, distance, found = r, diff, true
+		if diff = max(diff, -diff); diff < distance || diff == distance && number < first {
+			p, distance, first, found = r, diff, number, true
 		}
 	}
 	return p, found
@@ -212,13 +213,14 @@
 // has been found yet to make such calls.
 func (t *Tracker) lowest(r *route, name string, deadline time.Time) (p Parent, found bool) {
 	certain := true
-	for _, c := range t.running {
+	first := uint64(0)
+	for number, c := range t.running {
 		if c.Kind == name || c.Deadline.Before(deadline.Add(-earlyTolerance)) || !r.mayMake(c.Kind) {
 			continue
 		}
 		certain = certain && (!found || c.Kind == p.Kind)
-		if !found || c.Level < p.Level {
-			p, found = c, true
+		if !found || c.Level < p.Level || c.Level == p.Level && number < first {
+			p, first, found = c, number, true
 		}
 	}
 	if !certain && len(r.parents) == 0 {
--- a/internal/vm/correlation/correlation_test.go
+++ b/internal/vm/correlation/correlation_test.go
@@ -111,3 +111,18 @@
 		}
 	}
 }
+
+func TestOfSeveralMatchesTheFirstIsTheParent(t *testing.T) {
+	for range 50 {
+		tr := New()
+		for i := range 8 {
+			tr.Begin(Parent{ID: string(rune('a' + i)), Kind: "lookup", Level: 10, Deadline: epoch.Add(800 * ms)})
+		}
+		for range minRequests {
+			tr.Find(epoch, "call", 800*ms)
+		}
+		if o := tr.Find(epoch, "call", 800*ms); o.Parent.ID != "a" {
+			t.Fatalf("got parent %q, want the one that began first", o.Parent.ID)
+		}
+	}
+}
