The threshold counts calls as if their roots had met it now

Cause: the threshold is an integral of the demand, and its effect comes back with the nested calls of the trees that were let in, up to 1.5 s later. With 1,200 levels a second that is a loop with too long a delay: it swings.

Each call now carries the threshold that its root request met at the ingress. The scheduler counts the call for as many as there would be had all of its class met the present threshold, so a change takes effect in the measure at once, and the gain can be 2,400.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -45,9 +45,10 @@
 	// that a nested call belongs to. Both are empty if that request is not
 	// known.
 	parentKind, parentID string
-	// level is the priority level of the root request.
-	level    contract.Level
-	deadline time.Time
+	// level is the priority level of the root request, and admitted the
+	// threshold that it met at the ingress.
+	level, admitted contract.Level
+	deadline        time.Time
 	// objectiveAt is when the latency objective of the route ends. The zero
 	// time means that the deadline applies.
 	objectiveAt time.Time
@@ -80,10 +81,12 @@
 // downstream.
 func (n *Node) forward(ctx context.Context, c *call) *linkpb.CallReply {
 	now := time.Now()
-	threshold := n.pressure.Threshold(now, c.service, c.route.Name)
-	if !c.inner && c.level < threshold {
-		n.logShed(c, threshold)
-		return outcome.NotRunReply(contract.ReasonOverload, "shed at the front")
+	if !c.inner {
+		c.admitted = n.pressure.Threshold(now, c.service, c.route.Name)
+		if c.level < c.admitted {
+			n.logShed(c, c.admitted)
+			return outcome.NotRunReply(contract.ReasonOverload, "shed at the front")
+		}
 	}
 	ctx, cancel := n.requestContext(ctx, c.deadline)
 	defer cancel()
@@ -173,7 +176,8 @@
 	origin := n.correlation.Find(now, c.route.Name, left)
 	c.inner = origin.Nested
 	if c.inner {
-		c.parentKind, c.parentID, c.level = origin.Parent.Kind, origin.Parent.ID, origin.Parent.Level
+		c.parentKind, c.parentID = origin.Parent.Kind, origin.Parent.ID
+		c.level, c.admitted = origin.Parent.Level, origin.Parent.Admitted
 	} else {
 		c.level = levelOf(c.route.Rank, c.attempt)
 	}
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -185,6 +185,7 @@
 		AttemptId:   c.attempt,
 		Inner:       c.inner,
 		Level:       uint32(c.level),
+		Admitted:    uint32(c.admitted),
 		Idempotent:  c.route.Idempotent,
 		NoWait:      choice.NoWait,
 	}
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -67,8 +67,15 @@
 // admitted.
 func schedulerRequest(req *linkpb.CallRequest, now, deadline time.Time) scheduler.Request {
 	const ranksPerClass = 2
-	class := int(contract.Level(req.Level).Class())
-	r := scheduler.Request{Kind: req.Kind, Rank: ranksPerClass * (contract.NumClasses - class), Deadline: deadline, Idempotent: req.Idempotent}
+	level := contract.Level(req.Level)
+	r := scheduler.Request{
+		Kind:       req.Kind,
+		Rank:       ranksPerClass * (contract.NumClasses - int(level.Class())),
+		Level:      level,
+		Admitted:   contract.Level(req.Admitted),
+		Deadline:   deadline,
+		Idempotent: req.Idempotent,
+	}
 	// A sender that does not know of a limit may know an upstream without one.
 	r.NoWait = req.NoWait || !req.Notice.GetLimited()
 	if req.Inner {
@@ -101,7 +108,10 @@
 	defer fasthttp.ReleaseResponse(answer)
 	left := time.Until(deadline).Truncate(time.Millisecond)
 	n.buildRequest(hreq, req, state, left)
-	number := n.correlation.Begin(correlation.Parent{ID: req.AttemptId, Kind: req.Kind, Level: contract.Level(req.Level), Deadline: time.Now().Add(left)})
+	number := n.correlation.Begin(correlation.Parent{
+		ID: req.AttemptId, Kind: req.Kind, Deadline: time.Now().Add(left),
+		Level: contract.Level(req.Level), Admitted: contract.Level(req.Admitted),
+	})
 	defer n.correlation.End(number)
 	sent := time.Now()
 	out := n.upstream.Do(ctx, upstream.Request{
--- a/internal/sidecar/unit_test.go
+++ b/internal/sidecar/unit_test.go
@@ -17,7 +17,9 @@
 	"heathershed/internal/contract"
 	"heathershed/internal/fleet"
 	"heathershed/internal/link"
+	"heathershed/internal/routes"
 	"heathershed/internal/settings"
+	"heathershed/internal/vm/correlation"
 	"heathershed/platform/platformtest"
 )
 
@@ -241,3 +243,20 @@
 		}
 	}
 }
+
+func TestNestedCallCarriesTheThresholdThatItsRootMet(t *testing.T) {
+	const level, admitted = 700, 600
+	n := New(&settings.Sidecar{VM: "own", Upstream: "127.0.0.1:1", Platform: "127.0.0.1:1"}, slog.New(slog.DiscardHandler))
+	now := time.Now()
+	const left = time.Second
+	n.correlation.Begin(correlation.Parent{ID: "root", Kind: "lookup", Level: level, Admitted: admitted, Deadline: now.Add(left)})
+	var c call
+	for !c.inner {
+		c = call{route: &routes.Route{Name: "details"}, deadline: now.Add(left)}
+		n.findOrigin(now, &c, left)
+	}
+	req := n.callRequest(&c, fleet.Choice{})
+	if got := schedulerRequest(req, now, now.Add(left)); got.Level != level || got.Admitted != admitted {
+		t.Errorf("got level %d and threshold %d, want %d and %d", got.Level, got.Admitted, level, admitted)
+	}
+}
--- a/internal/vm/correlation/correlation.go
+++ b/internal/vm/correlation/correlation.go
@@ -48,6 +48,8 @@
 	Kind string
 	// Level is the priority level of the root request.
 	Level contract.Level
+	// Admitted is the threshold that the root request met at the ingress.
+	Admitted contract.Level
 	// Deadline is the parent's deadline as its upstream knows it.
 	Deadline time.Time
 }
--- a/internal/vm/scheduler/calltree_test.go
+++ b/internal/vm/scheduler/calltree_test.go
@@ -84,6 +84,7 @@
 	id         string
 	parentKind string
 	level      contract.Level
+	admitted   contract.Level // threshold that the root request met
 	deadline   time.Time
 	tried      []string
 	ended      func(ok bool)
@@ -177,14 +178,15 @@
 func (s *treeSim) client(k *treeKind, mayReturn bool) {
 	n := s.nodes[s.rng.IntN(len(s.nodes))]
 	level := contract.LevelOf(k.class, uint16(s.rng.IntN(contract.RanksPerClass)))
-	if level < n.pressure.Threshold(s.now, k.service, k.name) {
+	threshold := n.pressure.Threshold(s.now, k.service, k.name)
+	if level < threshold {
 		s.count(k).refused++
 		if mayReturn {
 			s.after(150*time.Millisecond+time.Duration(s.rng.IntN(350))*time.Millisecond, func() { s.client(k, false) })
 		}
 		return
 	}
-	s.send(n, &treeCall{kind: k, level: level, deadline: s.now.Add(k.timeout), ended: func(ok bool) {
+	s.send(n, &treeCall{kind: k, level: level, admitted: threshold, deadline: s.now.Add(k.timeout), ended: func(ok bool) {
 		if c := s.count(k); ok {
 			c.served++
 		} else {
@@ -266,7 +268,7 @@
 
 // request returns a call as the scheduler sees it.
 func (s *treeSim) request(c *treeCall) Request {
-	r := Request{Kind: c.kind.name, Rank: 2 * (contract.NumClasses - int(c.level.Class())), Deadline: c.deadline, Idempotent: c.kind != treeOrder}
+	r := Request{Kind: c.kind.name, Level: c.level, Admitted: c.admitted, Rank: 2 * (contract.NumClasses - int(c.level.Class())), Deadline: c.deadline, Idempotent: c.kind != treeOrder}
 	if c.inner() {
 		r.Rank--
 	} else if c.kind.objective > 0 {
@@ -323,7 +325,7 @@
 func (s *treeSim) work(n *treeNode, e *entry, c *treeCall, done func(ran, ok bool)) {
 	spread := 0.5 + s.rng.Float64()
 	part := time.Duration(float64(c.kind.work) * spread / n.speed / float64(len(c.kind.calls)+1))
-	number := n.calls.Begin(correlation.Parent{ID: c.id, Kind: c.kind.name, Level: c.level, Deadline: c.deadline.Truncate(time.Millisecond)})
+	number := n.calls.Begin(correlation.Parent{ID: c.id, Kind: c.kind.name, Level: c.level, Admitted: c.admitted, Deadline: c.deadline.Truncate(time.Millisecond)})
 	end := func(ok bool) {
 		n.calls.End(number)
 		n.c.release(s.now, e, true)
@@ -360,7 +362,7 @@
 		deadline = parent.deadline
 	}
 	found := n.calls.Find(s.now, k.name, deadline.Sub(s.now).Truncate(time.Millisecond)).Parent
-	s.send(n, &treeCall{kind: k, parentKind: found.Kind, level: found.Level, deadline: deadline, ended: ended})
+	s.send(n, &treeCall{kind: k, parentKind: found.Kind, level: found.Level, admitted: found.Admitted, deadline: deadline, ended: ended})
 }
 
 // treeResult is what became of the lookups of one simulation, as shares of what
--- a/internal/vm/scheduler/controller.go
+++ b/internal/vm/scheduler/controller.go
@@ -25,6 +25,9 @@
 	// Rank orders waiting requests. The lowest is started first, unlike with
 	// contract.Level, whose lowest is shed first.
 	Rank int
+	// Level is the priority level of the root request, and Admitted the
+	// threshold that it met at the ingress.
+	Level, Admitted contract.Level
 	// Deadline is when the request ends, answered or not.
 	Deadline time.Time
 	// Idempotent requests may be sent as probes to an unresponsive upstream.
@@ -129,7 +132,7 @@
 // offer starts the request, queues it or rejects it.
 func (c *controller) offer(now time.Time, r Request) (*entry, *Refusal) {
 	c.updateThreshold(now)
-	c.shedder.offered(c.latencies.expected(r.Kind))
+	c.shedder.offered(c.latencies.expected(r.Kind), r.Level, r.Admitted)
 	if !c.responsiveness.admits(now, c.inFlight, c.latencies.mean(), r.Idempotent) {
 		return nil, &Refusal{Reason: contract.ReasonUpstreamSilent, RetryAfter: probeInterval}
 	}
--- a/internal/vm/scheduler/shedder.go
+++ b/internal/vm/scheduler/shedder.go
@@ -20,7 +20,7 @@
 	targetDemand = 0.97
 	// gain is the speed of the threshold, in levels per second, for a demand
 	// that is above the target by 1, the work of all slots.
-	gain = 1200.0
+	gain = 2400.0
 	// The normal wait in the queue is normalWaitShare of the mean latency, but
 	// at least minNormalWait.
 	minNormalWait   = 15 * time.Millisecond
@@ -29,6 +29,8 @@
 	// first, at most maxWaitExcess times.
 	waitLevels    = 150.0
 	maxWaitExcess = 4.0
+	// maxProjection bounds what few admitted requests say about many.
+	maxProjection = 2.0
 )
 
 // shedder computes the threshold below which the ingress of other nodes rejects
@@ -38,8 +40,10 @@
 // The threshold is the integral of the excess demand, that is, of the work
 // offered per second as a share of the slots. It is not an integral of the
 // queue length, because the queue is an integral itself, and it takes some
-// tenths of a second until a threshold reaches the ingress nodes and its effect
-// comes back. A long queue only adds to the threshold for as long as it lasts.
+// tenths of a second until a threshold reaches the ingress nodes, and longer until
+// its effect comes back: a call tree that was admitted makes calls until its end.
+// So each request counts as it would had its root request met the present
+// threshold. A long queue also adds to the threshold for as long as it lasts.
 type shedder struct {
 	level      float64       // integral of the excess demand, in priority levels
 	queueLevel float64       // added for the queue, in priority levels
@@ -48,8 +52,22 @@
 	since      time.Time     // start of the window
 }
 
-// offered records an offered request with its expected latency.
-func (s *shedder) offered(expected time.Duration) { s.work += expected }
+// offered records an offered request with its expected latency. Its root request
+// has the level, and was admitted under the threshold.
+func (s *shedder) offered(expected time.Duration, level, admitted contract.Level) {
+	s.work += time.Duration(float64(expected) * s.projection(level, admitted))
+}
+
+// projection returns the factor by which the calls for root requests of the class
+// of level change until all of them have met the integral's present level, and none
+// the earlier threshold admitted. Ranks are uniform within a class.
+func (s *shedder) projection(level, admitted contract.Level) float64 {
+	base := float64(contract.LevelOf(level.Class(), 0))
+	passed := func(threshold float64) float64 {
+		return contract.RanksPerClass - min(max(threshold-base, 0), contract.RanksPerClass)
+	}
+	return min(passed(s.level)/max(passed(float64(admitted)), 1), maxProjection)
+}
 
 // updateThreshold moves the threshold if the current window has lasted minWindow.
 func (s *shedder) updateThreshold(now time.Time, wait, mean time.Duration, slots int) {
--- a/internal/vm/scheduler/shedder_test.go
+++ b/internal/vm/scheduler/shedder_test.go
@@ -4,6 +4,8 @@
 	"math"
 	"testing"
 	"time"
+
+	"heathershed/internal/contract"
 )
 
 // drive offers a multiple of the work of all slots for the given number of
@@ -24,12 +26,12 @@
 	n, steps := 0, int(time.Duration(seconds)*time.Second/step)
 	for i := range steps {
 		history = append(history, float64(s.threshold()))
-		shed := 0.0
+		admitted := 0.0
 		if i >= lag {
-			shed = min(history[i-lag]/levels, 1)
+			admitted = history[i-lag]
 		}
-		load := multiple * (1 - shed)
-		s.offered(time.Duration(load * slots * float64(step)))
+		load := multiple * (1 - min(admitted/levels, 1))
+		s.offered(time.Duration(load*slots*float64(step)), 0, contract.Level(admitted))
 		now = now.Add(step)
 		s.updateThreshold(now, 0, 20*time.Millisecond, slots)
 		if i >= steps-int(2*time.Second/step) {
@@ -50,6 +52,19 @@
 	}
 }
 
+// TestThresholdSettlesThoughCallsComeLate guards against a threshold that swings
+// because it goes on moving while its effect is still on the way.
+func TestThresholdSettlesThoughCallsComeLate(t *testing.T) {
+	for _, delay := range []time.Duration{900 * time.Millisecond, 1500 * time.Millisecond} {
+		for _, multiple := range []float64{1.2, 1.5, 2} {
+			var s shedder
+			if got := drive(&s, 8, multiple, delay); got < 0.9 || got > 1.05 {
+				t.Errorf("load of %.1f times the slots, %v late: got an offered share of %.2f, want 0.9 to 1.05", multiple, delay, got)
+			}
+		}
+	}
+}
+
 func TestLoadBelowTheSlotsIsNotShed(t *testing.T) {
 	var s shedder
 	const rounding = 1e-9
