Calls that wait count as demand, and those that end sooner go first

Cause: the nested calls of a tree follow one another. The more trees there are, the longer each call waits, and no more calls arrive than the slots take: the measured demand stays at 1.0 while 40 requests wait for 36 slots, and the threshold hardly moves. Meanwhile the queue gives each tree a part of its calls and none all ten within its 1,500 ms.

What waits now counts as demand, projected like what arrives; within a rank the queue is ordered by deadline, so trees that are nearly complete come before those that begin.

--- a/internal/vm/scheduler/controller.go
+++ b/internal/vm/scheduler/controller.go
@@ -4,7 +4,7 @@
 // The node beside an upstream is the only way to it, so its scheduler knows
 // exactly how many requests run there. It is work conserving: no slot stays
 // idle while a request waits. Waiting requests are started by rank and, within
-// a rank, in order of arrival. A request that can't be answered in time is
+// a rank, by deadline. A request that can't be answered in time is
 // rejected when it arrives, or as soon as that becomes known, so that its
 // caller loses no time. A rejected request has not run.
 //
@@ -102,7 +102,7 @@
 type controller struct {
 	slots    int
 	inFlight int
-	// queue is ordered by rank, then by arrival.
+	// queue is ordered by rank, then by deadline.
 	queue          []*entry
 	latencies      latencies
 	shedder        shedder
@@ -121,7 +121,7 @@
 	}
 	mean := c.latencies.mean()
 	wait := time.Duration(len(c.queue)) * mean / time.Duration(c.slots)
-	c.shedder.updateThreshold(now, wait, mean, c.slots)
+	c.shedder.updateThreshold(now, wait, mean, c.slots, c.queue)
 }
 
 // threshold is the priority level below which requests should not be sent.
@@ -148,7 +148,7 @@
 		c.start(now, e)
 		return e, nil
 	}
-	wait := c.expectedWait(now, r.Rank)
+	wait := c.expectedWait(now, e)
 	if len(c.queue) >= maxWaiting || now.Add(wait+c.latencies.expected(r.Kind)).After(r.answerBy()) {
 		return nil, &Refusal{Reason: c.lacking(now), RetryAfter: wait}
 	}
@@ -166,10 +166,20 @@
 	return contract.ReasonOverload
 }
 
-// insert puts an entry behind all entries whose rank is not higher.
+// before reports whether e is started before a waiting other: by rank, then by
+// deadline. A call tree that is nearly complete is the first to end.
+func (e *entry) before(other *entry) bool {
+	if e.Rank != other.Rank {
+		return e.Rank < other.Rank
+	}
+	return e.Deadline.Before(other.Deadline)
+}
+
+// insert puts an entry behind all entries of lower ranks, and those of its rank
+// that end sooner.
 func (c *controller) insert(e *entry) {
 	i := len(c.queue)
-	for i > 0 && c.queue[i-1].Rank > e.Rank {
+	for i > 0 && e.before(c.queue[i-1]) {
 		i--
 	}
 	c.queue = append(c.queue, nil)
@@ -177,15 +187,15 @@
 	c.queue[i] = e
 }
 
-// expectedWait estimates how long a request of the rank would wait for a slot
-// and for the limit that the upstream names.
-func (c *controller) expectedWait(now time.Time, rank int) time.Duration {
+// expectedWait estimates how long a request would wait for a slot and for the
+// limit that the upstream names.
+func (c *controller) expectedWait(now time.Time, e *entry) time.Duration {
 	if c.slots < 1 {
 		return 0
 	}
 	ahead := 1
-	for _, e := range c.queue {
-		if e.Rank > rank {
+	for _, other := range c.queue {
+		if e.before(other) {
 			break
 		}
 		ahead++
@@ -231,7 +241,7 @@
 		c.queue = c.queue[1:]
 		if late {
 			e.state = ended
-			e.decision <- &Refusal{Reason: contract.ReasonQueueTimeout, RetryAfter: c.expectedWait(now, e.Rank)}
+			e.decision <- &Refusal{Reason: contract.ReasonQueueTimeout, RetryAfter: c.expectedWait(now, e)}
 			continue
 		}
 		c.start(now, e)
--- a/internal/vm/scheduler/controller_test.go
+++ b/internal/vm/scheduler/controller_test.go
@@ -32,6 +32,23 @@
 	return e
 }
 
+func isRunning(e *entry) bool { return e.state == running }
+
+func TestRequestThatEndsSoonerStartsFirst(t *testing.T) {
+	c := newController(1)
+	running := mustOffer(t, c, at(0), request(1, 1000))
+	young := mustOffer(t, c, at(1), request(1, 900))
+	old := mustOffer(t, c, at(2), request(1, 500))
+	urgent := mustOffer(t, c, at(3), request(0, 1000))
+	for i, next := range []*entry{urgent, old, young} {
+		c.release(at(100*(i+1)), running, true)
+		if !isRunning(next) {
+			t.Fatalf("slot %d went to another request", i)
+		}
+		running = next
+	}
+}
+
 func TestFreedSlotGoesToLowestRankFirst(t *testing.T) {
 	c := newController(1)
 	running := mustOffer(t, c, at(0), request(1, 1000))
--- a/internal/vm/scheduler/scheduler.go
+++ b/internal/vm/scheduler/scheduler.go
@@ -121,7 +121,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.c.withdraw(e) {
-		return nil, &Refusal{Reason: reason, RetryAfter: s.c.expectedWait(time.Now(), e.Rank)}
+		return nil, &Refusal{Reason: reason, RetryAfter: s.c.expectedWait(time.Now(), e)}
 	}
 	return permitOf(e, <-e.decision) // decided before s.mu was taken
 }
--- a/internal/vm/scheduler/shedder.go
+++ b/internal/vm/scheduler/shedder.go
@@ -44,6 +44,10 @@
 // its effect comes back: a call tree that was admitted makes calls until its end.
 // So each request counts as it would had its root request met the present
 // threshold. A long queue also adds to the threshold for as long as it lasts.
+//
+// Nested calls that follow one another wait for one another: the more call trees
+// there are, the longer each call waits, and no more of them arrive than the slots
+// take. So what waits counts as demand too.
 type shedder struct {
 	level      float64       // integral of the excess demand, in priority levels
 	queueLevel float64       // added for the queue, in priority levels
@@ -70,13 +74,14 @@
 }
 
 // updateThreshold moves the threshold if the current window has lasted minWindow.
-func (s *shedder) updateThreshold(now time.Time, wait, mean time.Duration, slots int) {
+func (s *shedder) updateThreshold(now time.Time, wait, mean time.Duration, slots int, queue []*entry) {
 	age := now.Sub(s.since)
 	if age < minWindow {
 		return
 	}
 	dt := min(age, maxWindow).Seconds()
 	demand := s.work.Seconds() / (age.Seconds() * float64(slots))
+	demand += s.waiting(queue) / float64(slots)
 	s.demand += demandWeight * (demand - s.demand)
 	s.work, s.since = 0, now
 	s.level += gain * (s.demand - targetDemand) * dt
@@ -85,6 +90,16 @@
 	s.queueLevel = waitLevels * min(max(wait.Seconds()/normal.Seconds()-1, 0), maxWaitExcess)
 }
 
+// waiting returns the number of queued requests that would wait had they met the
+// present threshold.
+func (s *shedder) waiting(queue []*entry) float64 {
+	sum := 0.0
+	for _, e := range queue {
+		sum += s.projection(e.Level, e.Admitted)
+	}
+	return sum
+}
+
 func (s *shedder) threshold() contract.Level {
 	return contract.Level(min(s.level+s.queueLevel, float64(contract.MaxLevel)))
 }
--- a/internal/vm/scheduler/shedder_test.go
+++ b/internal/vm/scheduler/shedder_test.go
@@ -33,7 +33,7 @@
 		load := multiple * (1 - min(admitted/levels, 1))
 		s.offered(time.Duration(load*slots*float64(step)), 0, contract.Level(admitted))
 		now = now.Add(step)
-		s.updateThreshold(now, 0, 20*time.Millisecond, slots)
+		s.updateThreshold(now, 0, 20*time.Millisecond, slots, nil)
 		if i >= steps-int(2*time.Second/step) {
 			sum += load
 			n++
@@ -88,12 +88,30 @@
 func TestLongQueueRaisesTheThresholdWhileItLasts(t *testing.T) {
 	var s shedder
 	s.since = time.Unix(0, 0)
-	s.updateThreshold(time.Unix(1, 0), time.Second, 20*time.Millisecond, 10)
+	s.updateThreshold(time.Unix(1, 0), time.Second, 20*time.Millisecond, 10, nil)
 	if s.threshold() == 0 {
 		t.Fatal("got threshold 0 with a wait of 1 s in the queue, want it above 0")
 	}
-	s.updateThreshold(time.Unix(2, 0), 0, 20*time.Millisecond, 10)
+	s.updateThreshold(time.Unix(2, 0), 0, 20*time.Millisecond, 10, nil)
 	if s.threshold() != 0 {
 		t.Fatal("got a threshold above 0 after the queue emptied, want 0")
 	}
 }
+
+// TestWaitingCallsAreDemand guards against a threshold that stays low while call
+// trees wait for one another: no more calls arrive than the slots take.
+func TestWaitingCallsAreDemand(t *testing.T) {
+	const slots = 10
+	queue := make([]*entry, slots/2)
+	for i := range queue {
+		queue[i] = &entry{}
+	}
+	s := shedder{since: time.Unix(0, 0)}
+	for i := range 25 {
+		s.offered(slots*minWindow*9/10, 0, 0)
+		s.updateThreshold(time.Unix(0, 0).Add(time.Duration(i+1)*minWindow), 0, 20*time.Millisecond, slots, queue)
+	}
+	if s.threshold() == 0 {
+		t.Error("0.9 of the slots offered and half as many requests waiting: got threshold 0 after a second, want it above 0")
+	}
+}
