Logs tell that the same request ended several upstreams

The logs hold attempt ids, which are new each time. A run whose connection to the upstream was lost now has the hash of its content in its line, the same for all attempts with that content.

--- a/internal/sidecar/logs.go
+++ b/internal/sidecar/logs.go
@@ -13,6 +13,7 @@
 	"heathershed/internal/contract"
 	"heathershed/internal/eventlog"
 	"heathershed/internal/link"
+	"heathershed/internal/poison"
 	"heathershed/internal/vm/scheduler"
 	"heathershed/internal/wait"
 )
@@ -151,5 +152,18 @@
 	}
 	n.log.Info(message, "id", req.AttemptId, "route", req.Kind, "from", req.FromVm, "instance", n.target.state().ID,
 		"verdict", contract.Verdict(reply.Verdict).String(), "reason", contract.Reason(reply.Reason).String(), "detail", reply.Detail,
-		"status", reply.Status, "wait_ms", wait.Milliseconds(), "service_ms", service.Milliseconds())
+		"status", reply.Status, "wait_ms", wait.Milliseconds(), "service_ms", service.Milliseconds(), "content", contentOf(req, reply))
+}
+
+// contentOf returns the key of the content of a request whose run may have crashed
+// its upstream, as it is logged, and else the empty string.
+func contentOf(req *linkpb.CallRequest, reply *linkpb.CallReply) string {
+	if contract.Verdict(reply.Verdict) != contract.MayHaveRun || contract.Reason(reply.Reason) != contract.ReasonUpstreamFailed {
+		return ""
+	}
+	return keyOf(req).String()
+}
+
+func keyOf(req *linkpb.CallRequest) poison.Key {
+	return poison.KeyOf(req.Method, req.Host, req.Uri, req.FromService, req.Body)
 }
