--- a/internal/sidecar/cluster_test.go
+++ b/internal/sidecar/cluster_test.go
@@ -99,6 +99,7 @@
 	ran         atomic.Int64
 	mu          sync.Mutex
 	handle      http.HandlerFunc
+	stop        func() // closes its server
 }
 
 func (u *testUpstream) set(h http.HandlerFunc) {
@@ -203,7 +204,8 @@
 	}
 	server := &http.Server{Handler: up}
 	go func() { _ = server.Serve(l) }()
-	tc.t.Cleanup(func() { _ = server.Close() })
+	up.stop = func() { _ = server.Close() }
+	tc.t.Cleanup(up.stop)
 	return &vm{tc: tc, up: up, cfg: &settings.Sidecar{
 		VM: fmt.Sprint("vm-", number), Datacentre: datacentre, Region: "r", Service: service,
 		Clients: ip + ":7001", Link: ip + ":7002", Announce: ip + ":7002", Ready: ip + ":7003", Heartbeats: ip + ":7004", Metrics: ip + ":7005",
