A request that crashes upstreams is known by its content and rejected

Cause: nothing linked the end of an upstream to the requests that ran on it. Each attempt comes under a new id, at any node; and the node's own second try ended two upstreams for one request of a client.

The node beside an upstream records by content what ran when it ended, and tells all others; any complete answer to the same content clears it.

TestPopularRequestOutlivesCrashesOfOthers holds that crashes by others reject nobody, TestRestartedNodeKnows... that a node that starts later knows.

--- a/internal/contract/retry/retry_test.go
+++ b/internal/contract/retry/retry_test.go
@@ -227,7 +227,7 @@
 		contract.ReasonUnknownKind, contract.ReasonBadRequest, contract.ReasonTooLarge, contract.ReasonDeadline,
 		contract.ReasonLimit, contract.ReasonCancelled, contract.ReasonRetryBudget, contract.ReasonParentEnded,
 		contract.ReasonOrderRunning, contract.ReasonOrderUnknown, contract.ReasonOrderExpired, contract.ReasonOrderHome,
-		contract.ReasonNone, contract.ReasonHeaderTooLarge, contract.NumReasons,
+		contract.ReasonNone, contract.ReasonHeaderTooLarge, contract.ReasonCrashesUpstream, contract.NumReasons,
 	}
 	never := map[contract.Reason]bool{}
 	for _, r := range neverRetried {
--- a/internal/contract/verdict.go
+++ b/internal/contract/verdict.go
@@ -108,6 +108,8 @@
 	// ReasonHeaderTooLarge: the request line and headers exceed the limit of the
 	// active configuration.
 	ReasonHeaderTooLarge
+	// ReasonCrashesUpstream: upstreams that ran the same request crashed.
+	ReasonCrashesUpstream
 
 	// NumReasons is the number of reasons, for arrays indexed by Reason.
 	NumReasons = iota
@@ -120,6 +122,7 @@
 	"cancelled", "retry-budget", "parent-ended", "order-running",
 	"order-unknown", "order-expired", "order-home", "stale-target", "ring-full",
 	"upstream-silent", "upstream-limit", "header-too-large",
+	"crashes-upstream",
 }
 
 // String returns the value of the Heathershed-Reason header, or "unknown".
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Factors by which the cost of an upstream is multiplied.
@@ -73,7 +75,27 @@
 }
 
 // isCandidate reports whether a request may be sent to the upstream.
-func (e *entry) isCandidate(q Query) bool { return e.usable() && !slices.Contains(q.Exclude, e.VM) }
+func (e *entry) isCandidate(q Query) bool {
+	return e.usable() && !slices.Contains(q.Exclude, e.VM) && (q.Only == "" || q.Only == e.VM)
+}
+
+// Owner returns the VM, of those with a usable upstream of the service, that
+// rendezvous hashing assigns to a key; empty if there is none. Nodes that know the
+// same upstreams agree on it.
+func (f *Fleet) Owner(service string, key uint64) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	owner, highest := "", uint64(0)
+	for _, e := range f.byService[service] {
+		if !e.usable() {
+			continue
+		}
+		if score := nextRandom(xxhash.Sum64String(e.VM) ^ key); owner == "" || score > highest {
+			owner, highest = e.VM, score
+		}
+	}
+	return owner
+}
 
 // hasUnlimited reports whether some candidate names no limit.
 func (f *Fleet) hasUnlimited(q Query) bool {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -52,6 +52,8 @@
 	Exclude []string
 	// AvoidLimited excludes upstreams that name a limit where others don't.
 	AvoidLimited bool
+	// Only, if not empty, names the one VM that may be chosen.
+	Only string
 	// Random seeds the random part of the costs.
 	Random uint64
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -131,3 +131,31 @@
 		t.Fatalf("Pick: got %q, want local: the new instance is idle and the link is still up", c.VM)
 	}
 }
+
+func TestOwnerIsOneOfTheUsableUpstreams(t *testing.T) {
+	f, other := newFleet(), newFleet()
+	owned := make(map[string]int)
+	for key := range uint64(200) {
+		owner := f.Owner("span", key)
+		if other.Owner("span", key) != owner {
+			t.Fatalf("key %d: two nodes with the same upstreams disagree", key)
+		}
+		owned[owner]++
+	}
+	if owned["local"] < 60 || owned["remote"] < 60 || len(owned) != 2 {
+		t.Errorf("got owners %v, want about half of the keys each", owned)
+	}
+	f.SetLinked("local", false)
+	if got := f.Owner("span", 1); got != "remote" {
+		t.Errorf("one upstream is usable: got owner %q, want it", got)
+	}
+	if got := f.Owner("cut", 1); got != "" {
+		t.Errorf("no upstream of the service: got owner %q, want none", got)
+	}
+	if c, ok := f.Pick(epoch, Query{Service: "span", Only: "local"}); ok {
+		t.Errorf("only an upstream that is not usable may be chosen: got %q", c.VM)
+	}
+	if c, ok := f.Pick(epoch, Query{Service: "span", Only: "remote"}); !ok || c.VM != "remote" {
+		t.Errorf("got %q, want the only upstream that may be chosen", c.VM)
+	}
+}
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -205,11 +205,10 @@
 	}
 }
 
-// transmit stamps and sends a frame. Frames are shared between sessions, so a
-// shallow copy is stamped. A frame that has a time already, that of its content,
-// keeps it.
-func (s *Session) transmit(f *linkpb.ControlFrame) error {
-	stamped := &linkpb.ControlFrame{
+// copyFrame returns a shallow copy of a frame, without the fields that each session
+// sets. A frame that has a time already, that of its content, keeps it.
+func copyFrame(f *linkpb.ControlFrame) *linkpb.ControlFrame {
+	return &linkpb.ControlFrame{
 		SentUnixUs:     cmp.Or(f.SentUnixUs, time.Now().UnixMicro()),
 		SentHlc:        f.SentHlc,
 		Vm:             f.Vm,
@@ -223,7 +222,14 @@
 		Documents:      f.Documents,
 		Vouch:          f.Vouch,
 		OrderRecords:   f.OrderRecords,
+		CrashReports:   f.CrashReports,
 	}
+}
+
+// transmit stamps and sends a frame. Frames are shared between sessions, so a copy
+// is stamped.
+func (s *Session) transmit(f *linkpb.ControlFrame) error {
+	stamped := copyFrame(f)
 	s.mu.Lock()
 	s.sent++
 	stamped.Sequence = s.sent
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -14,6 +14,7 @@
 	"heathershed/internal/contract"
 	"heathershed/internal/ingress"
 	"heathershed/internal/outcome"
+	"heathershed/internal/poison"
 	"heathershed/internal/routes"
 	"heathershed/platform"
 )
@@ -57,6 +58,8 @@
 	host        string
 	headers     []*linkpb.Header
 	body        []byte
+	// key identifies the content; 0 until it is needed.
+	key poison.Key
 }
 
 // serveClient handles a request on the ingress, from a client or from the
@@ -88,6 +91,9 @@
 			return outcome.NotRunReply(contract.ReasonOverload, "shed at the front")
 		}
 	}
+	if reply := n.rejectCrashing(c); reply != nil {
+		return reply
+	}
 	ctx, cancel := n.requestContext(ctx, c.deadline)
 	defer cancel()
 	n.pressure.Sent(now, c.service, c.route.Name)
--- a/internal/sidecar/crashing_test.go
+++ b/internal/sidecar/crashing_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"heathershed/internal/contract"
 )
 
 const (
@@ -178,6 +180,54 @@
 	}
 }
 
+// TestRestartedNodeKnowsRequestsThatCrashUpstreams guards against a node that lets
+// such a request run again because it has started since.
+func TestRestartedNodeKnowsRequestsThatCrashUpstreams(t *testing.T) {
+	tc := newTestCluster(t)
+	tc.configure(1, "far")
+	var c crashes
+	vms, _ := tc.crashingService("far", 3, &c)
+	rejected := func(m *vm) bool {
+		got := m.request("GET", "/far/crash", nil)
+		return got.status == http.StatusServiceUnavailable && strings.Contains(got.body, contract.ReasonCrashesUpstream.String())
+	}
+	tc.waitFor("the request is rejected", func() bool { return rejected(vms[0]) && rejected(vms[1]) && rejected(vms[2]) })
+	vms[0].halt()
+	vms[0].run()
+	tc.waitFor("ready again", vms[0].ready)
+	tc.waitFor("the reports are there", func() bool { return !vms[0].node.poison.Empty() })
+	before := c.count()
+	if !rejected(vms[0]) || c.count() > before {
+		t.Errorf("the restarted node does not reject the request; it ran %d times more", c.count()-before)
+	}
+}
+
+// TestPopularRequestOutlivesCrashesOfOthers guards against rejecting a request that
+// was running, with others, whenever an upstream crashed.
+func TestPopularRequestOutlivesCrashesOfOthers(t *testing.T) {
+	tc := newTestCluster(t)
+	tc.configure(1, "far")
+	var c crashes
+	vms, ups := tc.crashingService("far", 4, &c)
+	popular := sendEvery(vms, 5*time.Millisecond, "GET", "/far/popular")
+	for i := range 15 {
+		time.Sleep(200 * time.Millisecond)
+		ups[i%len(ups)].crash()
+	}
+	popular()
+	time.Sleep(2 * crashedFor)
+	popular = sendEvery(vms, 5*time.Millisecond, "GET", "/far/popular")
+	time.Sleep(time.Second)
+	statuses := popular()
+	total := 0
+	for _, n := range statuses {
+		total += n
+	}
+	if statuses[http.StatusOK]*100 < 98*total {
+		t.Errorf("after the crashes: got answers %v, want 98%% served", statuses)
+	}
+}
+
 // TestRequestThatCrashesUpstreamsIsNotSentForEver guards against a request that
 // ends one upstream after the other while the others' requests fail with it.
 func TestRequestThatCrashesUpstreamsIsNotSentForEver(t *testing.T) {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -29,6 +29,7 @@
 	"heathershed/internal/freshness"
 	"heathershed/internal/ingress"
 	"heathershed/internal/link"
+	"heathershed/internal/poison"
 	"heathershed/internal/routes"
 	"heathershed/internal/settings"
 	"heathershed/internal/upstream"
@@ -91,8 +92,12 @@
 	callers      *callers.Tracker
 	pressure     *pressure.Table
 	budget       *budget
-	metrics      *metrics
-	peers        *peers
+	// poison holds the requests that crash upstreams. onProbation is set while
+	// one of them runs at the local upstream on its own.
+	poison      *poison.Table
+	onProbation atomic.Bool
+	metrics     *metrics
+	peers       *peers
 
 	ingress       *ingress.Server
 	ready         *fasthttp.Server
@@ -104,6 +109,9 @@
 
 	// recordChanged is sent when the local record may have changed.
 	recordChanged wait.Signal
+	// reportsDue is sent when other nodes may lack what is known of requests that
+	// crash upstreams.
+	reportsDue wait.Signal
 	// readDue is sent when the next read of the configuration is due earlier.
 	readDue wait.Signal
 	store   storeHealth
@@ -146,9 +154,11 @@
 		callers:       callers.New(),
 		pressure:      pressure.New(),
 		budget:        newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
+		poison:        poison.New(),
 		metrics:       newMetrics(),
 		freshness:     freshness.New(freshnessLimit(cfg.ApplyWithin), now),
 		recordChanged: wait.NewSignal(),
+		reportsDue:    wait.NewSignal(),
 		readDue:       wait.NewSignal(),
 	}
 	n.incarnation.Store(uint64(now.UnixMicro()))
@@ -205,6 +215,7 @@
 	group.Go(func() error { return n.peers.runLinks(running) })
 	group.Go(func() error { return n.runGauges(running) })
 	group.Go(func() error { return n.runThresholdLog(running) })
+	group.Go(func() error { return n.runCrashReports(running) })
 	group.Go(func() error { return n.runRecord(running) })
 	group.Go(func() error { return n.upstream.RunIdle(running) })
 	done := make(chan error, 1)
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -200,17 +200,17 @@
 
 // broadcast sends a heartbeat with the current state on every session.
 func (n *Node) broadcast() {
-	n.peers.mu.Lock()
-	sessions := make([]*link.Session, 0, len(n.peers.sessions))
-	for s := range n.peers.sessions {
-		sessions = append(sessions, s)
-	}
-	n.peers.mu.Unlock()
-	for _, s := range sessions {
+	for _, s := range n.peers.openSessions() {
 		s.Send(n.Heartbeat(s))
 	}
 }
 
+func (p *peers) openSessions() []*link.Session {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Keys(p.sessions))
+}
+
 // SessionOpened implements link.Handler.
 func (n *Node) SessionOpened(s *link.Session) {
 	n.peers.mu.Lock()
@@ -218,6 +218,7 @@
 		n.peers.sessions[s] = 0
 	}
 	n.peers.mu.Unlock()
+	n.reportsDue.Send()
 	vm := s.Peer().VM
 	if s.Dialled() {
 		n.peers.updateLink(vm)
@@ -281,6 +282,7 @@
 	}
 	n.recall(f.Notice)
 	n.remind(s, f)
+	n.mergeCrashReports(f.CrashReports...)
 	for _, d := range f.Documents {
 		if d.Name == documentRoutes {
 			n.adoptFromLink(f.Vm, d.Value)
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -10,6 +10,7 @@
 	"heathershed/internal/fleet"
 	"heathershed/internal/hedge"
 	"heathershed/internal/outcome"
+	"heathershed/internal/poison"
 	"heathershed/internal/wait"
 )
 
@@ -79,7 +80,7 @@
 // one, and the reply covers all of them. Orders and attempts at the local
 // upstream are not hedged; an order waits for its attempt to end.
 func (n *Node) attempt(ctx context.Context, c *call, choice fleet.Choice, s *sendState) (reply *linkpb.CallReply, suspected bool) {
-	if choice.VM == n.cfg.VM || !c.route.Idempotent {
+	if choice.VM == n.cfg.VM || !c.route.Idempotent || n.standing(c).State != poison.Free {
 		return n.offer(ctx, c, choice, nil)
 	}
 	first := func(ctx context.Context, suspect func()) (*linkpb.CallReply, bool) {
@@ -98,10 +99,10 @@
 }
 
 // mayRetry reports whether another attempt may be made. An order that may have
-// run is never retried. Attempts that reached no upstream are free; once one
+// run is never retried, nor a request that may crash upstreams. Attempts that reached no upstream are free; once one
 // has, the attempts of the route and the retry budget bound the rest.
 func (n *Node) mayRetry(ctx context.Context, c *call, failed outcome.Attempts) bool {
-	if ctx.Err() != nil || (failed.MayHaveRun && !c.route.Idempotent) {
+	if ctx.Err() != nil || (failed.MayHaveRun && !c.route.Idempotent) || n.standing(c).State != poison.Free {
 		return false
 	}
 	if failed.ReachedUpstream == 0 {
@@ -124,6 +125,7 @@
 			Service:      c.service,
 			Kind:         c.route.Name,
 			Exclude:      s.tried,
+			Only:         n.onlyVM(c),
 			AvoidLimited: s.limited,
 			Random:       rand.Uint64(),
 		})
@@ -136,6 +138,15 @@
 	}
 }
 
+// onlyVM returns the VM that alone may run a call that may crash upstreams; empty
+// for other calls.
+func (n *Node) onlyVM(c *call) string {
+	if n.standing(c).State == poison.Free {
+		return ""
+	}
+	return n.fleet.Owner(c.service, uint64(n.keyOfCall(c)))
+}
+
 // offer sends the call to one node, or runs it at the local upstream if that
 // was chosen. See link.Set.Call for suspect.
 func (n *Node) offer(ctx context.Context, c *call, choice fleet.Choice, suspect func()) (reply *linkpb.CallReply, suspected bool) {
@@ -150,6 +161,7 @@
 		n.logNotice(choice.VM)
 	}
 	n.observeReply(now, c, reply)
+	n.mergeCrashReports(reply.CrashReport)
 	return reply, suspected
 }
 
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -47,13 +47,21 @@
 	if state := n.target.state(); !state.Ready || state.Service != req.Service {
 		return outcome.NotRunReply(contract.ReasonLeaving, "no upstream of the service takes work here")
 	}
+	alone, rejection := n.admitCrashing(req)
+	if rejection != nil {
+		n.metrics.countRejected(contract.ReasonCrashesUpstream)
+		return rejection
+	}
+	if alone {
+		defer n.onProbation.Store(false)
+	}
 	permit, refusal := n.sched.Acquire(ctx, now, schedulerRequest(req, now, deadline))
 	if refusal != nil {
 		n.metrics.countRejected(refusal.Reason)
 		return outcome.RetryAfterReply(refusal.RetryAfter, refusal.Reason, n.refusalDetail(refusal.Reason))
 	}
 	started := time.Now()
-	reply := n.run(ctx, req, deadline)
+	reply := n.run(ctx, req, deadline, alone)
 	ended := time.Now()
 	n.sched.Release(ended, permit, outcome.Ran(reply))
 	n.metrics.observeRun(started.Sub(now), ended.Sub(started))
@@ -89,7 +97,8 @@
 
 // run sends an admitted call to the upstream. From here on only the upstream
 // client can tell whether the call may have run.
-func (n *Node) run(ctx context.Context, req *linkpb.CallRequest, deadline time.Time) *linkpb.CallReply {
+// alone says that no other request on probation runs there.
+func (n *Node) run(ctx context.Context, req *linkpb.CallRequest, deadline time.Time, alone bool) *linkpb.CallReply {
 	state := n.target.state()
 	if !state.Ready || state.Service != req.Service {
 		return outcome.NotRunReply(contract.ReasonLeaving, "the upstream has left")
@@ -127,7 +136,9 @@
 	if out.Verdict == contract.NotRun && !req.Idempotent {
 		n.dedup.remove(req.AttemptId)
 	}
-	return outcome.UpstreamReply(out, answer, platform.ForwardsResponseHeader)
+	reply := outcome.UpstreamReply(out, answer, platform.ForwardsResponseHeader)
+	n.observeCrash(ctx, req, state, alone, out, reply)
+	return reply
 }
 
 // maxAnswer bounds the body of an answer, in bytes, so that it fits in one
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -15,8 +15,10 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"heathershed/internal/contract"
@@ -167,6 +169,15 @@
 	return out
 }
 
+// Refuses reports whether nothing listens at the address of the upstream.
+func (c *Client) Refuses(ctx context.Context) bool {
+	cn, err := c.dial(ctx, c.address)
+	if err == nil {
+		_ = cn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // exchange runs one request over the connection and reports whether the
 // connection can be reused.
 func (c *Client) exchange(ctx context.Context, cn *conn, req Request, answer *fasthttp.Response) (Outcome, bool) {
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -119,6 +119,21 @@
 	if out.Verdict != contract.NotRun || out.Reason != contract.ReasonUpstreamFailed {
 		t.Fatalf("outcome: got %+v, want not-run upstream-failed", out)
 	}
+	if !New(address, 4, 1<<20).Refuses(t.Context()) {
+		t.Error("nothing listens: got that connections are not refused")
+	}
+}
+
+func TestUpstreamThatListensDoesNotRefuse(t *testing.T) {
+	client := New(serve(t, script{}), 4, 1<<20)
+	if client.Refuses(t.Context()) {
+		t.Error("got that connections are refused")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if client.Refuses(ctx) {
+		t.Error("the check was cancelled: got that connections are refused")
+	}
 }
 
 // Guards against sending a request on an idle connection that the upstream has
--- a/internal/vm/instance/instance.go
+++ b/internal/vm/instance/instance.go
@@ -44,6 +44,8 @@
 	Notice  Notice
 	LimitAt time.Time
 	Heard   bool
+	// Lost says that nothing listens at its address any more.
+	Lost bool
 	// seq is that of the newest heartbeat.
 	seq uint64
 	// leaving says that it drains or has deregistered.
@@ -140,6 +142,7 @@
 	t.state.Slots = h.Slots
 	t.state.leaving = h.Draining || t.state.Notice.Leaving
 	t.state.Ready = !t.state.leaving
+	t.state.Lost = false
 	t.state.WarmUntil = now.Add(h.Warmup)
 }
 
@@ -167,7 +170,7 @@
 	if id != t.state.ID || !t.state.Ready {
 		return Same
 	}
-	t.state.Ready = false
+	t.state.Ready, t.state.Lost = false, true
 	return Lost
 }
 
--- a/internal/vm/instance/instance_test.go
+++ b/internal/vm/instance/instance_test.go
@@ -88,6 +88,26 @@
 	})
 }
 
+func TestLostUntilTheNextHeartbeat(t *testing.T) {
+	tr := NewTracker(address)
+	for _, s := range []struct {
+		what  string
+		apply func(*Tracker) Change
+		want  bool
+	}{
+		{"first", handle(heartbeat("a", 1)), false},
+		{"connection refused", func(tr *Tracker) Change { return tr.ConnectionRefused("a") }, true},
+		{"new instance", handle(heartbeat("b", 1)), false},
+		{"deregisters", func(tr *Tracker) Change { return tr.Deregister("b") }, false},
+		{"connection refused once it has left", func(tr *Tracker) Change { return tr.ConnectionRefused("b") }, false},
+	} {
+		s.apply(tr)
+		if got := tr.State().Lost; got != s.want {
+			t.Errorf("%s: got lost %v, want %v", s.what, got, s.want)
+		}
+	}
+}
+
 func TestRestoreAfterAHeartbeatIsIgnored(t *testing.T) {
 	run(t, []step{
 		{"first", handle(heartbeat("a", 1)), Started, "a", true},
