Ends that answers have cleared no longer fill their set

By reading: a request that runs often is cleared after each crash beside it. The set of cleared ends was full after 16, later ones were never cleared, and the request would have been put on probation and rejected for what others did.

The set keeps the newest 32. A report of them alone is not passed on, so two nodes with other ones don't send them back and forth. TestAnsweredRequestStaysFreeAfterManyCrashes: before, one end is left after the 17th crash; after, none.

--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -37,10 +37,11 @@
 	// clearedAge is how long the ends that an answer has cleared are remembered,
 	// so that a late report of them is ignored.
 	clearedAge = 10 * time.Second
-	// maxEntries bounds the requests that are tracked, and maxEnds the ends of
-	// one of them.
+	// maxEntries bounds the requests that are tracked, maxEnds the ends of one of
+	// them, and maxCleared the newest ones of those that were cleared.
 	maxEntries = 4096
 	maxEnds    = 16
+	maxCleared = 2 * maxEnds
 )
 
 // Report is what a node knows of one request.
@@ -189,15 +190,15 @@
 	if e == nil {
 		return
 	}
-	changed := add(&e.Cleared, r.Cleared)
-	changed = add(&e.Alone, r.Alone) || changed
-	fresh := false
-	for _, end := range r.Ends {
-		fresh = !slices.Contains(e.Cleared, end) && add(&e.Ends, []End{end}) || fresh
-	}
-	e.Ends = slices.DeleteFunc(e.Ends, func(end End) bool { return slices.Contains(e.Cleared, end) })
-	e.Alone = slices.DeleteFunc(e.Alone, func(end End) bool { return slices.Contains(e.Cleared, end) })
-	if changed || fresh {
+	add(&e.Cleared, r.Cleared)
+	e.Cleared = e.Cleared[max(len(e.Cleared)-maxCleared, 0):]
+	before := len(e.Ends) + len(e.Alone)
+	e.Ends = slices.DeleteFunc(e.Ends, e.hasCleared)
+	e.Alone = slices.DeleteFunc(e.Alone, e.hasCleared)
+	changed := len(e.Ends)+len(e.Alone) < before
+	changed = addUpTo(maxEnds, &e.Ends, slices.DeleteFunc(slices.Clone(r.Ends), e.hasCleared)) || changed
+	changed = addUpTo(maxEnds, &e.Alone, slices.DeleteFunc(slices.Clone(r.Alone), e.hasCleared)) || changed
+	if changed {
 		if at.After(e.at) {
 			e.at = at
 		}
@@ -207,10 +208,12 @@
 	}
 }
 
-// add adds ends to a set of at most maxEnds and reports whether it has changed.
+func (e *entry) hasCleared(end End) bool { return slices.Contains(e.Cleared, end) }
+
+// add adds ends to a set, newest last, and reports whether it has changed.
 func add(set *[]End, ends []End) (changed bool) {
 	for _, end := range ends {
-		if len(*set) < maxEnds && !slices.Contains(*set, end) {
+		if !slices.Contains(*set, end) {
 			*set = append(*set, end)
 			changed = true
 		}
@@ -218,6 +221,11 @@
 	return changed
 }
 
+// addUpTo is add for a set that takes no more than most ends.
+func addUpTo(most int, set *[]End, ends []End) (changed bool) {
+	return add(set, ends[:min(len(ends), max(most-len(*set), 0))])
+}
+
 // entry returns the entry of a request. It adds one as of at if there is none, and
 // returns nil if the table is full.
 func (t *Table) entry(now time.Time, k Key, at time.Time) *entry {
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -163,3 +163,18 @@
 		t.Errorf("a table full of expired entries: got %d ends, want 2", got.Ends)
 	}
 }
+
+// TestAnsweredRequestStaysFreeAfterManyCrashes guards against ends that an answer no
+// longer clears because too many were cleared before.
+func TestAnsweredRequestStaysFreeAfterManyCrashes(t *testing.T) {
+	here, there := New(), New()
+	for i := range 4 * maxEnds {
+		crash(here, epoch, 1, string(rune('a'+i)), false)
+		passOn(epoch, here, there, 0)
+		here.Answered(epoch, 1)
+		passOn(epoch, here, there, 0)
+		if s := there.Standing(epoch, 1); s.Ends > 0 || here.Standing(epoch, 1).Ends > 0 {
+			t.Fatalf("after %d ends, each cleared by an answer: got %+v, want none left", i+1, s)
+		}
+	}
+}
