--- a/cmd/heathershed-soak/main.go
+++ b/cmd/heathershed-soak/main.go
@@ -32,6 +32,7 @@
 	vms := flag.Int("vms", 6, "number of VMs, 3 to 200")
 	clients := flag.Int("clients", 3, "clients of each VM")
 	network := flag.String("net", "77.1", "second and third byte of the loopback addresses")
+	crash := flag.Bool("crash", false, "at the end, send a request that crashes upstreams")
 	plan := flag.Bool("plan", false, "print the faults too")
 	flag.Parse()
 	if flag.NArg() > 0 || *vms < 3 || *vms > 200 || *seeds < 1 || *clients < 1 {
@@ -43,7 +44,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	cfg := soak.Config{Bin: *bin, VMs: *vms, Clients: *clients, Length: *length, Net: *network}
+	cfg := soak.Config{Bin: *bin, VMs: *vms, Clients: *clients, Length: *length, Net: *network, Crash: *crash}
 	os.Exit(runAll(ctx, cfg, *seed, *seeds, *plan))
 }
 
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -50,7 +50,7 @@
 	addr, path, attempt string
 	order               bool
 	work, size          int
-	call                bool
+	call, crash         bool
 	timeout             time.Duration
 }
 
@@ -63,6 +63,9 @@
 	if r.call {
 		url += "&call"
 	}
+	if r.crash {
+		url += "&crash"
+	}
 	req, err := http.NewRequestWithContext(ctx, method, url, nil)
 	if err != nil {
 		return nil, err
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -43,6 +43,9 @@
 	// requests that clients sent later than drainBound after their node had
 	// passed that on.
 	LateLeave Promise = "late leave"
+	// Crashes: a request that crashes upstreams runs at most crashMaxLate times
+	// once all nodes can know of it.
+	Crashes Promise = "crashes"
 )
 
 // Violation is one broken promise.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -25,6 +25,8 @@
 	VMs, Clients int
 	// Length is the time during which faults start.
 	Length time.Duration
+	// Crash says that a request that crashes upstreams is sent at the end.
+	Crash bool
 	// Net is the second and third byte of the loopback addresses.
 	Net string
 }
@@ -92,6 +94,10 @@
 	r.awaitRecovery("cut")
 	r.slowdown()
 	r.awaitRecovery("slow")
+	if cfg.Crash {
+		r.crashing()
+		r.awaitRecovery("crash")
+	}
 	r.operator.checkAll(ctx)
 	cancel()
 	wg.Wait()
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -74,6 +74,10 @@
 	health  Health
 	notice  notice
 	drained time.Time // when draining was acknowledged; zero if it was not
+	// crash ends the upstream under a request that asks for it, and crashRuns
+	// counts the runs of such requests; nil before the phase that sends them.
+	crash     func()
+	crashRuns *crashRuns
 }
 
 // Start starts the upstream under a new instance id.
@@ -168,6 +172,7 @@
 	if late := time.Since(drained); !drained.IsZero() && late > drainBound && u.ledger.NoFaultSince(time.Now().Add(-drainBound), faultNode) {
 		u.ledger.AddViolation(LateDrain, attempt, fmt.Sprintf("%v after the acknowledgement at %s", late.Round(time.Millisecond), id))
 	}
+	u.crashIfAsked(r)
 	takes := time.Duration(intParam(r, "work")) * time.Millisecond
 	if health == Slow {
 		takes += slowBy(attempt)
