--- a/internal/timeline/text.go
+++ b/internal/timeline/text.go
@@ -39,6 +39,7 @@
 	contract.ReasonUpstreamSilent:  "the upstream has stopped responding",
 	contract.ReasonUpstreamLimit:   "the limit that the upstream names is used up",
 	contract.ReasonHeaderTooLarge:  "its request line and headers exceed the limit of the configuration",
+	contract.ReasonCrashesUpstream: "upstreams that ran the same request crashed",
 }
 
 // Write writes the events, one line each, and a line for each gap before the
