A request that was answered shortly before is not blamed for a crash

A request that crashes upstreams is never answered. A node now blames no content that was answered there in the last 30 to 60 s: two sets of at most 8,192 hashes. TestAnsweredRequestIsNotBlamedForLaterCrashes fails without it.

--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -37,6 +37,10 @@
 	// clearedAge is how long the ends that an answer has cleared are remembered,
 	// so that a late report of them is ignored.
 	clearedAge = 10 * time.Second
+	// A request that was answered here within answeredAge to twice that is not
+	// blamed for an end. At most maxAnswered answers of each such time are kept.
+	answeredAge = 30 * time.Second
+	maxAnswered = 8192
 	// maxEntries bounds the requests that are tracked, maxEnds the ends of one of
 	// them, and maxCleared the newest ones of those that were cleared.
 	maxEntries = 4096
@@ -98,10 +102,14 @@
 	mu       sync.Mutex
 	sequence uint64
 	entries  map[Key]*entry
+	// answered and answeredBefore hold the requests that were answered here since
+	// answeredSince, and in the generation before.
+	answered, answeredBefore map[Key]bool
+	answeredSince            time.Time
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{entries: make(map[Key]*entry)} }
+func New() *Table { return &Table{entries: make(map[Key]*entry), answered: make(map[Key]bool)} }
 
 // Empty reports whether nothing is known of any request.
 func (t *Table) Empty() bool {
@@ -111,10 +119,15 @@
 }
 
 // Ended records that an upstream beside this node ended while it ran the request.
-// alone says that no other request on probation ran there.
+// alone says that no other request on probation ran there. A request that was
+// answered here shortly before did not cause it.
 func (t *Table) Ended(now time.Time, k Key, end End, alone bool) Standing {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.rotateAnswered(now)
+	if t.answered[k] || t.answeredBefore[k] {
+		return t.standing(now, k)
+	}
 	r := Report{Key: k, Ends: []End{end}}
 	if alone && t.standing(now, k).State == Probation {
 		r.Alone = r.Ends
@@ -128,6 +141,10 @@
 func (t *Table) Answered(now time.Time, k Key) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.rotateAnswered(now)
+	if len(t.answered) < maxAnswered {
+		t.answered[k] = true
+	}
 	e := t.entries[k]
 	if e == nil || len(e.Ends) == 0 {
 		return false
@@ -136,6 +153,19 @@
 	return true
 }
 
+// rotateAnswered begins a new generation of answered requests when it is due.
+func (t *Table) rotateAnswered(now time.Time) {
+	age := now.Sub(t.answeredSince)
+	if age < answeredAge {
+		return
+	}
+	t.answeredBefore = t.answered
+	if age >= 2*answeredAge {
+		t.answeredBefore = nil
+	}
+	t.answered, t.answeredSince = make(map[Key]bool), now
+}
+
 // Merge adds what another node reports.
 func (t *Table) Merge(now time.Time, reports ...Report) {
 	t.mu.Lock()
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -169,8 +169,9 @@
 func TestAnsweredRequestStaysFreeAfterManyCrashes(t *testing.T) {
 	here, there := New(), New()
 	for i := range 4 * maxEnds {
-		crash(here, epoch, 1, string(rune('a'+i)), false)
-		passOn(epoch, here, there, 0)
+		end := Report{Key: 1, Ends: []End{End(i + 1)}}
+		here.Merge(epoch, end)
+		there.Merge(epoch, end)
 		here.Answered(epoch, 1)
 		passOn(epoch, here, there, 0)
 		if s := there.Standing(epoch, 1); s.Ends > 0 || here.Standing(epoch, 1).Ends > 0 {
@@ -178,3 +179,23 @@
 		}
 	}
 }
+
+// TestAnsweredRequestIsNotBlamedForLaterCrashes guards against rejecting a request
+// that runs often because it ran whenever an upstream crashed.
+func TestAnsweredRequestIsNotBlamedForLaterCrashes(t *testing.T) {
+	tb, now := New(), epoch
+	tb.Answered(now, 1)
+	for i := range 5 {
+		wantState(t, "answered shortly before", crash(tb, now.Add(answeredAge-1), 1, string(rune('a'+i)), true), Free)
+	}
+	later := now.Add(2 * answeredAge)
+	for i, want := range []State{Free, Probation, Rejected} {
+		wantState(t, "answered long before", crash(tb, later, 1, string(rune('a'+i)), true), want)
+	}
+	for k := range Key(3 * maxAnswered) {
+		tb.Answered(later, k)
+	}
+	if got := len(tb.answered); got > maxAnswered {
+		t.Errorf("got %d answered requests kept, want at most %d", got, maxAnswered)
+	}
+}
--- a/internal/sidecar/crash.go
+++ b/internal/sidecar/crash.go
@@ -100,7 +100,7 @@
 func (n *Node) observeCrash(ctx context.Context, req *linkpb.CallRequest, state instance.State, alone bool, out upstream.Outcome, reply *linkpb.CallReply) {
 	switch {
 	case out.Verdict == contract.Ran:
-		if reply.Status < http.StatusInternalServerError && !n.poison.Empty() && n.poison.Answered(time.Now(), keyOf(req)) {
+		if reply.Status < http.StatusInternalServerError && n.poison.Answered(time.Now(), keyOf(req)) {
 			n.log.Info("request acquitted", "id", req.AttemptId, "content", keyOf(req).String(), "instance", state.ID)
 			n.reportsDue.Send()
 		}
