Requests that crash upstreams: plain words in a log line, comments and the note

The line, comments and the design note spoke of guilt, blame and acquittal. They now say what happens: an end is counted or not, a request is its cause or is cleared by an answer. Only the text of one log line changes in the code.

--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -9,7 +9,7 @@
 //
 // From probationEnds unanswered ends on, a request is on probation: it runs at one
 // upstream of its service, on its own among such requests. An end under it there
-// is its own doing, and it is rejected for a time that grows with each such end.
+// is caused by it, and it is rejected for a time that grows with each such end.
 // After that time it is on probation again, as upstreams may have been repaired.
 package poison
 
@@ -38,7 +38,7 @@
 	// so that a late report of them is ignored.
 	clearedAge = 10 * time.Second
 	// A request that was answered here within answeredAge to twice that is not
-	// blamed for an end. At most maxAnswered answers of each such time are kept.
+	// taken for the cause of an end. At most maxAnswered answers of each such time are kept.
 	answeredAge = 30 * time.Second
 	maxAnswered = 8192
 	// maxEntries bounds the requests that are tracked, maxEnds the ends of one of
--- a/internal/sidecar/crash.go
+++ b/internal/sidecar/crash.go
@@ -101,7 +101,7 @@
 	switch {
 	case out.Verdict == contract.Ran:
 		if reply.Status < http.StatusInternalServerError && n.poison.Answered(time.Now(), keyOf(req)) {
-			n.log.Info("request acquitted", "id", req.AttemptId, "content", keyOf(req).String(), "instance", state.ID)
+			n.log.Info("request cleared by an answer", "id", req.AttemptId, "content", keyOf(req).String(), "instance", state.ID)
 			n.reportsDue.Send()
 		}
 		return
