Settings take numbers as the platform may write them

Cause: the slack of the retry budget was read with Atoi, the memory with ParseInt. Change: slack is a number, memory takes fractions of a MiB, times take exponents. What has no meaning (no unit, NaN, out of range) still ends with the key named.

--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -1,7 +1,7 @@
 package settings
 
 import (
-	"fmt"
+	"math"
 	"net/netip"
 	"regexp"
 	"slices"
@@ -157,7 +157,7 @@
 
 func (v duration) String() string { return v.at.String() }
 func (v duration) set(text string) error {
-	d, err := time.ParseDuration(text)
+	d, err := parseDuration(text)
 	if err != nil || d < v.min || d > v.max {
 		return errors.Newf("a time with its unit (ms, s, m) from %v to %v", v.min, v.max)
 	}
@@ -165,6 +165,41 @@
 	return nil
 }
 
+// parseDuration is time.ParseDuration that also takes an exponent in a number
+// with one unit, such as 1.5e3ms.
+func parseDuration(text string) (time.Duration, error) {
+	digits := strings.TrimRight(text, "abcdfghijklmnopqrstuvwxyzµμ")
+	unit, err := time.ParseDuration("1" + text[len(digits):])
+	if err != nil {
+		return 0, err
+	}
+	count, err := strconv.ParseFloat(digits, 64)
+	if err != nil {
+		return time.ParseDuration(text)
+	}
+	d := count * float64(unit)
+	if !(math.Abs(d) < math.MaxInt64) {
+		return 0, errors.Newf("%q is out of range", text)
+	}
+	return time.Duration(math.Round(d)), nil
+}
+
+// amount is a number from min to max, fractions included.
+type amount struct {
+	at       *float64
+	min, max float64
+}
+
+func (v amount) String() string { return strconv.FormatFloat(*v.at, 'g', -1, 64) }
+func (v amount) set(text string) error {
+	a, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(a >= v.min && a <= v.max) {
+		return errors.Newf("a number from %g to %g", v.min, v.max)
+	}
+	*v.at = a
+	return nil
+}
+
 // ratio is a number from 0 to 1.
 type ratio struct{ at *float64 }
 
@@ -178,7 +213,7 @@
 	return nil
 }
 
-// size is a number of bytes, written in MiB.
+// size is a number of bytes, written in MiB, fractions included.
 type size struct {
 	at       *int64
 	min, max int64
@@ -186,14 +221,17 @@
 
 const mebibyte = 1 << 20
 
-func (v size) String() string { return fmt.Sprintf("%dMiB", *v.at/mebibyte) }
+func (v size) String() string {
+	return strconv.FormatFloat(float64(*v.at)/mebibyte, 'f', -1, 64) + "MiB"
+}
 func (v size) set(text string) error {
 	digits, ok := strings.CutSuffix(text, "MiB")
-	n, err := strconv.ParseInt(strings.TrimSpace(digits), 10, 32)
-	if !ok || err != nil || n*mebibyte < v.min || n*mebibyte > v.max {
+	n, err := strconv.ParseFloat(strings.TrimSpace(digits), 64)
+	bytes := math.Round(n * mebibyte)
+	if !ok || err != nil || !(bytes >= float64(v.min) && bytes <= float64(v.max)) {
 		return errors.Newf("a size in MiB from %dMiB to %dMiB", v.min/mebibyte, v.max/mebibyte)
 	}
-	*v.at = n * mebibyte
+	*v.at = int64(bytes)
 	return nil
 }
 
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -33,9 +33,9 @@
 	Grace time.Duration
 	// RetryRatio and RetrySlack bound the attempts on an upstream beyond the
 	// first of each request, over all nodes: per RetryWindow, a fraction of the
-	// requests plus a constant number.
+	// requests plus a constant number, which may be a fraction.
 	RetryRatio  float64
-	RetrySlack  int
+	RetrySlack  float64
 	RetryWindow time.Duration
 	// Memory is the memory that the VM provides for the process, in bytes.
 	Memory int64
@@ -90,7 +90,7 @@
 		{section: "platform", key: "address", value: address{&s.Platform}, required: true},
 		{section: "configuration", key: "apply_within", value: duration{&s.ApplyWithin, minApplyWithin, time.Hour}, defaultText: "2s"},
 		{section: "retries", key: "ratio", value: ratio{&s.RetryRatio}, defaultText: "0.2"},
-		{section: "retries", key: "slack", value: number{&s.RetrySlack, 0, maxRetrySlack}, defaultText: "50"},
+		{section: "retries", key: "slack", value: amount{&s.RetrySlack, 0, maxRetrySlack}, defaultText: "50"},
 		{section: "retries", key: "window", value: duration{&s.RetryWindow, time.Second, time.Hour}, defaultText: "10s"},
 		{section: "process", key: "grace", value: duration{&s.Grace, time.Second, 10 * time.Minute}, defaultText: "6s"},
 		{section: "process", key: "memory", value: size{&s.Memory, minMemoryLimit, maxMemory}, defaultText: "284MiB"},
--- a/internal/sidecar/budget.go
+++ b/internal/sidecar/budget.go
@@ -28,15 +28,15 @@
 	last   time.Time
 }
 
-func newBudget(ratio float64, slack int, window time.Duration) *budget {
-	return &budget{ratio: ratio * safetyFactor, slack: float64(slack) * safetyFactor, window: window, nodes: 1}
+func newBudget(ratio, slack float64, window time.Duration) *budget {
+	return &budget{ratio: ratio * safetyFactor, slack: slack * safetyFactor, window: window, nodes: 1}
 }
 
 // setBound replaces the bound.
-func (b *budget) setBound(ratio float64, slack int, window time.Duration) {
+func (b *budget) setBound(ratio, slack float64, window time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ratio, b.slack, b.window = ratio*safetyFactor, float64(slack)*safetyFactor, window
+	b.ratio, b.slack, b.window = ratio*safetyFactor, slack*safetyFactor, window
 }
 
 // setNodes sets the number of nodes that share the slack.
