Upstreams with room are chosen before full ones; latencies age

Cause: the cheapest of all was chosen by a load as old as the last answer, and latency outweighs load: a quick upstream with a queue is cheaper than a slow idle one, for all nodes at once. fleet.cost kept an upstream's last latency for ever. Change: an upstream above 0.95 of its slots, or in doubt, is chosen only if all are, by load and doubt alone. A known latency approaches the mean of the service with a half-life of 1 s; an unknown one is the lowest, so that what joins is tried. Orders avoid upstreams that lose answers three times as much as lookups.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -15,8 +15,10 @@
 	// costs 1+loadFactor times as much as an idle one.
 	loadFactor = 2.0
 	// failureFactor scales the failure rate: an upstream whose requests all fail
-	// costs 1+failureFactor times as much as one without failures.
-	failureFactor = 8.0
+	// costs 1+failureFactor times as much as one without failures. orderFailureFactor
+	// is the same for orders and their calls, which can't be repeated.
+	failureFactor      = 8.0
+	orderFailureFactor = 3 * failureFactor
 	// rejectFactor applies for rejectPeriod after an attempt at the upstream
 	// ended as "not run", usually because its scheduler had no room.
 	rejectFactor = 3.0
@@ -30,32 +32,37 @@
 	unresponsiveLatencies = 4
 	// warmupFactor applies to an upstream that is still warming up.
 	warmupFactor = 2.0
+	// An upstream counts as full above fullUse of its slots: what is known of it is
+	// as old as its last answer. One with a higher doubt than maxDoubt counts as full
+	// too, so that it is not preferred to one that answers and has a queue.
+	fullUse  = 0.95
+	maxDoubt = 2.0
 	// jitter is the fraction by which costs are randomised, so that nodes with
 	// the same information do not all choose the same upstream.
 	jitter = 0.2
-	// defaultLatency is assumed while no latency is known.
-	defaultLatency = 100 * time.Millisecond
 )
 
-// Pick chooses the upstream of the service with the lowest cost and counts a
-// request as outstanding there until Done. It returns false if no upstream of
-// the service outside q.Exclude can take requests.
+// Pick chooses the upstream of the service with the lowest cost among those that
+// have room, or else the one that has most, and counts a request as outstanding
+// there until Done. It returns false if no upstream of the service outside q.Exclude
+// can take requests.
 func (f *Fleet) Pick(now time.Time, q Query) (Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	meanLatency := f.meanLatency(q)
+	service := f.kindLatency(now, q)
 	unlimited := f.hasUnlimited(q)
 	random := q.Random
 	var best *entry
-	var lowest float64
+	var lowest cost
 	for _, e := range f.byService[q.Service] {
 		if !e.isCandidate(q) || unlimited && e.passedOver(now, q) {
 			continue
 		}
 		random = nextRandom(random)
-		cost := f.cost(now, e, q.Kind, meanLatency) * (1 + jitter*unitFloat(random))
-		if best == nil || cost < lowest {
-			best, lowest = e, cost
+		c := f.cost(now, e, q, service)
+		c.value *= 1 + jitter*unitFloat(random)
+		if best == nil || c.less(lowest) {
+			best, lowest = e, c
 		}
 	}
 	if best == nil {
@@ -104,45 +111,70 @@
 	})
 }
 
-// meanLatency returns the mean latency of the request kind over the upstreams
-// of the service for which it is known.
-func (f *Fleet) meanLatency(q Query) time.Duration {
-	var sum time.Duration
-	known := 0
-	for _, e := range f.byService[q.Service] {
-		if l := e.latency[q.Kind]; l > 0 {
-			sum += l
-			known++
-		}
-	}
-	if known == 0 {
-		return defaultLatency
+// cost ranks an upstream for one request.
+type cost struct {
+	// full reports that no room is expected there.
+	full  bool
+	value float64
+}
+
+// less reports whether an upstream is chosen before another one. One that is full is
+// chosen only if all are: a quick upstream with a queue would otherwise be cheaper
+// than a slow one that is idle.
+func (c cost) less(other cost) bool {
+	if c.full != other.full {
+		return other.full
 	}
-	return sum / time.Duration(known)
+	return c.value < other.value
 }
 
-// cost returns the expected latency in seconds, with the wait for the limit that
-// the upstream names, multiplied by the factors that apply to the upstream. mean
-// stands in for an unknown latency.
-func (f *Fleet) cost(now time.Time, e *entry, kind string, mean time.Duration) float64 {
-	latency := e.expectedLatency(now, kind, mean)
+// cost returns the cost of an upstream. That of one with room is the expected
+// latency in seconds, multiplied by the factors that apply. Among full ones only load
+// and doubt count, with the wait for the limit that the upstream names.
+func (f *Fleet) cost(now time.Time, e *entry, q Query, service kindLatency) cost {
+	expected := e.expectedLatency(now, q.Kind, service)
 	busy := max(e.outstanding, e.load.InFlight+e.load.Waiting+e.sent)
 	use := float64(busy+1) / float64(max(e.Slots, 1))
-	cost := (latency + e.paceWait(now)).Seconds() * (1 + loadFactor*use*use)
-	cost *= 1 + failureFactor*e.failures.rate(now)
+	doubt := e.doubt(now, q, expected)
+	value := (1 + loadFactor*use*use) * doubt
+	pace := e.paceWait(now)
+	if use > fullUse || doubt > maxDoubt {
+		return cost{full: true, value: value * (1 + pace.Seconds()/max(expected, time.Millisecond).Seconds())}
+	}
+	value *= (expected + pace).Seconds()
 	if e.Datacentre != f.datacentre {
-		cost *= remoteFactor
+		value *= remoteFactor
+	}
+	if e.load.Cold {
+		value *= warmupFactor
 	}
+	return cost{value: value}
+}
+
+// doubt is the factor by which the cost grows because requests may not be answered.
+func (e *entry) doubt(now time.Time, q Query, expected time.Duration) float64 {
+	doubt := 1 + q.failureFactor()*e.failureRate(now)
 	if now.Sub(e.rejectedAt) < rejectPeriod {
-		cost *= rejectFactor
+		doubt *= rejectFactor
 	}
-	if e.load.Cold {
-		cost *= warmupFactor
+	if e.unresponsive(now, expected) {
+		doubt *= unresponsiveFactor
 	}
-	if e.unresponsive(now, latency) {
-		cost *= unresponsiveFactor
+	return doubt
+}
+
+func (q *Query) failureFactor() float64 {
+	if q.Order {
+		return orderFailureFactor
 	}
-	return cost
+	return failureFactor
+}
+
+// failureRate returns the share of failed requests: of those that this node has
+// sent, or of all as the node beside the upstream has reported it, the higher one.
+func (e *entry) failureRate(now time.Time) float64 {
+	reported := failureRate{value: e.load.LossRate, at: e.loadAt}
+	return max(e.failures.rate(now), reported.rate(now))
 }
 
 // unresponsive reports whether requests are outstanding and none has ended for
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -34,6 +34,9 @@
 	// Latency is the mean of the request kind that was answered, or of all kinds
 	// in a load reported without a reply; 0 if unknown.
 	Latency time.Duration
+	// LossRate is the share of the recent requests that the upstream has not
+	// answered, whoever has sent them.
+	LossRate float64
 	// Draining reports that the upstream takes no requests now.
 	Draining bool
 	// Cold reports that the upstream is still warming up.
@@ -48,6 +51,8 @@
 // Query asks for the upstream of one attempt.
 type Query struct {
 	Service, Kind string
+	// Order says that the request is an order, or a call made for one.
+	Order bool
 	// Exclude lists the VMs that were tried already.
 	Exclude []string
 	// AvoidLimited excludes upstreams that name a limit where others don't.
@@ -83,6 +88,7 @@
 	Upstream
 	linked bool
 	load   Load
+	loadAt time.Time
 	// sent counts the requests sent since load was reported, outstanding those
 	// that have not ended.
 	sent, outstanding int
@@ -91,10 +97,9 @@
 	waitingSince time.Time
 	// rejectedAt is the end of the last attempt with the verdict "not run".
 	rejectedAt time.Time
-	// latency is known since answeredAt, by request kind.
-	latency    map[string]time.Duration
-	answeredAt time.Time
-	failures   failureRate
+	// latency is by request kind.
+	latency  map[string]latency
+	failures failureRate
 	// report is the newest one of the VM, also if Instance is not known.
 	report  instance.Report
 	backoff limitBackoff
@@ -127,7 +132,7 @@
 	defer f.mu.Unlock()
 	e := f.byVM[u.VM]
 	if e == nil || e.Instance != u.Instance || e.Service != u.Service {
-		fresh := &entry{latency: make(map[string]time.Duration)}
+		fresh := &entry{latency: make(map[string]latency)}
 		if e != nil {
 			fresh.linked, fresh.report = e.linked, e.report
 		}
@@ -164,7 +169,7 @@
 	defer f.mu.Unlock()
 	e := f.byVM[vm]
 	if e == nil {
-		e = &entry{Upstream: Upstream{VM: vm}, latency: make(map[string]time.Duration)}
+		e = &entry{Upstream: Upstream{VM: vm}, latency: make(map[string]latency)}
 		f.byVM[vm] = e
 	}
 	e.linked = up
@@ -172,18 +177,18 @@
 
 // UpdateLoad records a load that was reported without a reply. It reports
 // whether the load's report is news.
-func (f *Fleet) UpdateLoad(vm string, load Load) (isNews bool) {
+func (f *Fleet) UpdateLoad(now time.Time, vm string, load Load) (isNews bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if e := f.byVM[vm]; e != nil {
-		e.setLoad(load)
+		e.setLoad(now, load)
 	}
 	return f.hear(vm, load.Report)
 }
 
 // setLoad replaces the load by a newer one.
-func (e *entry) setLoad(load Load) {
-	e.load = load
+func (e *entry) setLoad(now time.Time, load Load) {
+	e.load, e.loadAt = load, now
 	e.sent = 0
 	if load.Slots > 0 {
 		e.Slots = load.Slots
@@ -200,9 +205,9 @@
 	e.waitingSince = now
 	if r.Load != nil {
 		isNews = f.hear(e.VM, r.Load.Report)
-		e.setLoad(*r.Load)
+		e.setLoad(now, *r.Load)
 		if r.Load.Latency > 0 {
-			e.latency[r.Kind], e.answeredAt = r.Load.Latency, now
+			e.latency[r.Kind] = latency{r.Load.Latency, now}
 		}
 	} else {
 		e.sent = max(e.sent-1, 0)
@@ -231,6 +236,20 @@
 	return known, usable
 }
 
+// CountService returns the number of known VMs with an upstream of the service, and
+// of those that can take requests.
+func (f *Fleet) CountService(service string) (known, usable int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.byService[service] {
+		known++
+		if e.usable() {
+			usable++
+		}
+	}
+	return known, usable
+}
+
 // usable reports whether requests can be sent to the upstream. A load that
 // reports draining is valid only until the next one: loads of one node arrive
 // over several paths, and an old one may arrive last.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -41,9 +41,9 @@
 		want    string // empty: no upstream can be chosen
 	}{
 		{"local data centre preferred", func(*Fleet) {}, "local"},
-		{"other data centre when the local upstream is full", func(f *Fleet) { f.UpdateLoad("local", Load{InFlight: 10, Slots: 10}) }, "remote"},
+		{"other data centre when the local upstream is full", func(f *Fleet) { f.UpdateLoad(epoch, "local", Load{InFlight: 10, Slots: 10}) }, "remote"},
 		{"link down", func(f *Fleet) { f.SetLinked("local", false) }, "remote"},
-		{"upstream draining", func(f *Fleet) { f.UpdateLoad("local", Load{Slots: 10, Draining: true}) }, "remote"},
+		{"upstream draining", func(f *Fleet) { f.UpdateLoad(epoch, "local", Load{Slots: 10, Draining: true}) }, "remote"},
 		{"upstream of another service", func(f *Fleet) {
 			f.Put(Upstream{VM: "local", Service: "cut", Instance: "i-2", Slots: 10, Ready: true})
 		}, "remote"},
@@ -108,15 +108,15 @@
 		}
 		return ok
 	}
-	f.UpdateLoad("local", Load{Slots: 10, Draining: true}) // sent before the upstream became ready
+	f.UpdateLoad(epoch, "local", Load{Slots: 10, Draining: true}) // sent before the upstream became ready
 	if usable() {
 		t.Fatal("upstream chosen although its last load reports draining")
 	}
-	f.UpdateLoad("local", Load{Slots: 10})
+	f.UpdateLoad(epoch, "local", Load{Slots: 10})
 	if !usable() {
 		t.Fatal("upstream not chosen after a load that does not report draining")
 	}
-	f.UpdateLoad("local", Load{Slots: 10, Draining: true})
+	f.UpdateLoad(epoch, "local", Load{Slots: 10, Draining: true})
 	f.Put(Upstream{VM: "local", Service: "span", Datacentre: "west", Instance: "i-local", Slots: 10, Ready: true})
 	if !usable() {
 		t.Fatal("upstream not chosen after its node announced it as ready")
@@ -125,7 +125,7 @@
 
 func TestNewInstanceDiscardsLoad(t *testing.T) {
 	f := newFleet()
-	f.UpdateLoad("local", Load{InFlight: 10, Waiting: 10, Slots: 10})
+	f.UpdateLoad(epoch, "local", Load{InFlight: 10, Waiting: 10, Slots: 10})
 	f.Put(Upstream{VM: "local", Service: "span", Datacentre: "west", Instance: "i-2", Slots: 10, Ready: true})
 	if c, ok := f.Pick(epoch, Query{Service: "span", Random: 7}); !ok || c.VM != "local" {
 		t.Fatalf("Pick: got %q, want local: the new instance is idle and the link is still up", c.VM)
@@ -159,3 +159,118 @@
 		t.Errorf("got %q, want the only upstream that may be chosen", c.VM)
 	}
 }
+
+// answerOnce sends one request to the VM, which answers with the latency.
+func answerOnce(f *Fleet, now time.Time, vm string, latency time.Duration) {
+	c, _ := f.Pick(now, Query{Service: "span", Kind: "k", Only: vm})
+	f.Done(now, c, Result{Verdict: contract.Ran, Kind: "k", Load: &Load{Slots: 10, Latency: latency}})
+}
+
+func TestOneSlowAnswerDoesNotKeepAnUpstreamAway(t *testing.T) {
+	for _, slow := range []string{"local", "remote"} {
+		f := newFleet()
+		f.moveRemote("west")
+		answerOnce(f, epoch, "local", 5*time.Millisecond)
+		answerOnce(f, epoch, "remote", 5*time.Millisecond)
+		answerOnce(f, epoch, slow, 300*time.Millisecond)
+		now, count := epoch, 0
+		for i := range 1000 { // 30 s
+			now = now.Add(30 * time.Millisecond)
+			c, _ := f.Pick(now, Query{Service: "span", Kind: "k", Random: uint64(i)})
+			if c.VM == slow {
+				count++
+			}
+			f.Done(now, c, Result{Verdict: contract.Ran, Kind: "k", Load: &Load{Slots: 10, Latency: 5 * time.Millisecond}})
+		}
+		if count < 200 {
+			t.Errorf("%s was chosen for %d of 1000 requests in 30 s after one slow answer, want at least 200", slow, count)
+		}
+	}
+}
+
+func TestUpstreamThatStaysSlowIsSeldomTried(t *testing.T) {
+	f := newFleet()
+	f.moveRemote("west")
+	answerOnce(f, epoch, "remote", 5*time.Millisecond)
+	now, count := epoch, 0
+	for i := range 1000 { // 30 s
+		now = now.Add(30 * time.Millisecond)
+		c, _ := f.Pick(now, Query{Service: "span", Kind: "k", Random: uint64(i)})
+		latency := 5 * time.Millisecond
+		if c.VM == "local" {
+			count++
+			latency = 300 * time.Millisecond
+		}
+		f.Done(now, c, Result{Verdict: contract.Ran, Kind: "k", Load: &Load{Slots: 10, Latency: latency}})
+	}
+	if count < 2 || count > 10 {
+		t.Errorf("the slow upstream was chosen for %d of 1000 requests in 30 s, want 2 to 10", count)
+	}
+}
+
+// TestUpstreamThatJoinsIsTried guards against one that gets no request because
+// others are known to be quick.
+func TestUpstreamThatJoinsIsTried(t *testing.T) {
+	f := newFleet()
+	for _, vm := range []string{"local", "remote"} {
+		answerOnce(f, epoch, vm, 5*time.Millisecond)
+	}
+	f.Put(Upstream{VM: "joined", Service: "span", Datacentre: "west", Instance: "i-joined", Slots: 10, Ready: true})
+	f.SetLinked("joined", true)
+	count := 0
+	for i := range 100 { // 4 s
+		now := epoch.Add(time.Duration(i) * 40 * time.Millisecond)
+		c, _ := f.Pick(now, Query{Service: "span", Kind: "k", Random: uint64(i)})
+		if c.VM == "joined" {
+			count++
+		}
+		f.Done(now, c, Result{Verdict: contract.Ran, Kind: "k", Load: &Load{Slots: 10, Latency: 5 * time.Millisecond}})
+	}
+	if count < 20 {
+		t.Errorf("an upstream that joined was chosen for %d of 100 requests in 4 s, want at least 20", count)
+	}
+}
+
+// moveRemote announces the upstream "remote" as one of another data centre.
+func (f *Fleet) moveRemote(datacentre string) {
+	f.Put(Upstream{VM: "remote", Service: "span", Datacentre: datacentre, Instance: "i-remote", Slots: 10, Ready: true})
+}
+
+// TestReportedLossesKeepRequestsAway guards against nodes that each need losses of
+// their own before they avoid an upstream that loses answers.
+func TestReportedLossesKeepRequestsAway(t *testing.T) {
+	f := newFleet()
+	f.moveRemote("west")
+	answerOnce(f, epoch, "local", 5*time.Millisecond)
+	answerOnce(f, epoch, "remote", 5*time.Millisecond)
+	f.UpdateLoad(epoch, "local", Load{Slots: 10, LossRate: 0.4})
+	for i := range 20 {
+		c, _ := f.Pick(epoch, Query{Service: "span", Kind: "k", Random: uint64(i)})
+		if c.VM == "local" {
+			t.Fatal("chose the upstream that loses answers, although another one is idle")
+		}
+		f.Done(epoch, c, Result{Verdict: contract.Ran, Kind: "k", Load: &Load{Slots: 10, Latency: 5 * time.Millisecond}})
+	}
+	if got := picks(f, epoch.Add(20*time.Second), 50); got["local"] < 10 {
+		t.Fatalf("%d of 50 requests sent there 20 s after the report, want at least 10", got["local"])
+	}
+}
+
+// TestOrdersAvoidLossesMoreThanLookups guards against orders that are lost at an
+// upstream while lookups, which may be repeated, fill one that answers.
+func TestOrdersAvoidLossesMoreThanLookups(t *testing.T) {
+	f := newFleet()
+	f.moveRemote("west")
+	answerOnce(f, epoch, "local", 5*time.Millisecond)
+	answerOnce(f, epoch, "remote", 5*time.Millisecond)
+	f.UpdateLoad(epoch, "local", Load{Slots: 10, LossRate: 0.4})
+	f.UpdateLoad(epoch, "remote", Load{Slots: 10, InFlight: 15})
+	for _, c := range []struct {
+		order bool
+		want  string
+	}{{true, "remote"}, {false, "local"}} {
+		if got, _ := f.Pick(epoch, Query{Service: "span", Kind: "k", Order: c.order}); got.VM != c.want {
+			t.Errorf("order %v: got %s, want %s", c.order, got.VM, c.want)
+		}
+	}
+}
--- a/internal/fleet/notice.go
+++ b/internal/fleet/notice.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"math"
 	"time"
 
 	"heathershed/internal/vm/instance"
@@ -12,10 +11,6 @@
 	// a limit is passed over after it had no room within it.
 	minLimitBackoff = 50 * time.Millisecond
 	maxLimitBackoff = 8 * time.Second
-	// limitedHalfLife is the time in which the known latency of an upstream
-	// that names a limit halves: only its answers show that the limit has
-	// ended, so it must be tried again soon.
-	limitedHalfLife = time.Second
 )
 
 // limitBackoff spaces the attempts of one node at an upstream that names a
@@ -106,18 +101,3 @@
 	}
 	return max(wait, 0)
 }
-
-// expectedLatency returns the latency that is known for the kind of request, or
-// mean if none is. While the upstream names a limit, a known latency halves with
-// each limitedHalfLife since the last answer.
-func (e *entry) expectedLatency(now time.Time, kind string, mean time.Duration) time.Duration {
-	latency := e.latency[kind]
-	if latency == 0 {
-		return mean
-	}
-	if e.heard().Limited {
-		age := now.Sub(e.answeredAt)
-		latency = time.Duration(float64(latency) * math.Exp2(-age.Seconds()/limitedHalfLife.Seconds()))
-	}
-	return latency
-}
--- a/internal/fleet/notice_test.go
+++ b/internal/fleet/notice_test.go
@@ -16,7 +16,9 @@
 	return instance.Report{Instance: id, Incarnation: 1, Changes: version, Notice: instance.Notice{Leaving: true}}
 }
 
-func (f *Fleet) hearFrom(vm string, r instance.Report) { f.UpdateLoad(vm, Load{Slots: 10, Report: r}) }
+func (f *Fleet) hearFrom(vm string, r instance.Report) {
+	f.UpdateLoad(epoch, vm, Load{Slots: 10, Report: r})
+}
 
 func TestNewestNoticeOfAnInstanceIsKept(t *testing.T) {
 	put := func(f *Fleet, id string, ready bool) {
@@ -118,8 +120,8 @@
 
 func TestUpstreamWithRoomWithinItsLimitIsPreferred(t *testing.T) {
 	f := newFleet()
-	f.UpdateLoad("local", Load{Slots: 10, Report: limited("i-local", 5, 8), PacedUntil: epoch.Add(time.Second)})
-	f.UpdateLoad("remote", Load{Slots: 10, Report: limited("i-remote", 5, 8)})
+	f.UpdateLoad(epoch, "local", Load{Slots: 10, Report: limited("i-local", 5, 8), PacedUntil: epoch.Add(time.Second)})
+	f.UpdateLoad(epoch, "remote", Load{Slots: 10, Report: limited("i-remote", 5, 8)})
 	if c, _ := f.Pick(epoch, Query{Service: "span", Kind: "k"}); c.VM != "remote" {
 		t.Fatalf("got %q, want the one that has room now", c.VM)
 	}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -276,7 +276,7 @@
 	n.peers.merge(f.Members...)
 	n.peers.sendNewer(s, f.Members)
 	if f.Load != nil {
-		if n.fleet.UpdateLoad(f.Vm, loadOf(f.Load)) {
+		if n.fleet.UpdateLoad(time.Now(), f.Vm, loadOf(f.Load)) {
 			n.logNotice(f.Vm)
 		}
 	}
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -124,6 +124,7 @@
 		choice, ok := n.fleet.Pick(time.Now(), fleet.Query{
 			Service:      c.service,
 			Kind:         c.route.Name,
+			Order:        !c.route.Idempotent || c.level.Class() == contract.ClassOrder,
 			Exclude:      s.tried,
 			Only:         n.onlyVM(c),
 			AvoidLimited: s.limited,
