Replies carry the share of requests that an upstream does not answer

Cause: each node learns of the losses from its own requests, ten outcomes a second of each upstream; the node beside it sees all of them and said nothing. Test: TestReportedLossesKeepRequestsAway, TestOrdersAvoidLossesMoreThanLookups.

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -36,6 +36,7 @@
 	"heathershed/internal/version"
 	"heathershed/internal/vm/callers"
 	"heathershed/internal/vm/correlation"
+	"heathershed/internal/vm/losses"
 	"heathershed/internal/vm/pressure"
 	"heathershed/internal/vm/scheduler"
 	"heathershed/internal/wait"
@@ -92,6 +93,7 @@
 	callers      *callers.Tracker
 	pressure     *pressure.Table
 	budget       *budget
+	losses       losses.Tracker // of the local upstream
 	// poison holds the requests that crash upstreams. onProbation is set while
 	// one of them runs at the local upstream on its own.
 	poison      *poison.Table
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -232,6 +232,7 @@
 		Latency:  time.Duration(l.LatencyUs) * time.Microsecond,
 		Draining: l.Leaving,
 		Cold:     l.Cold,
+		LossRate: float64(l.LossPermille) / permille,
 
 		PacedUntil: time.Now().Add(time.Duration(l.PaceWaitUs) * time.Microsecond),
 		Report:     reportOf(l.Notice),
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -132,6 +132,7 @@
 		AllowUntilClose: true,
 	}, answer)
 	n.observeOutcome(state, out, answer)
+	n.observeLoss(out)
 	n.observeNotice(state.ID, sent, out, answer)
 	if out.Verdict == contract.NotRun && !req.Idempotent {
 		n.dedup.remove(req.AttemptId)
@@ -141,6 +142,9 @@
 	return reply
 }
 
+// permille is the unit in which links carry shares.
+const permille = 1000
+
 // maxAnswer bounds the body of an answer, in bytes, so that it fits in one
 // message of a link.
 const maxAnswer = 9 << 20
@@ -175,21 +179,32 @@
 	}
 }
 
+// observeLoss records whether the upstream has answered a request. One that its
+// caller cancelled, or that another instance rejected, says nothing of it.
+func (n *Node) observeLoss(out upstream.Outcome) {
+	switch out.Reason {
+	case contract.ReasonCancelled, contract.ReasonStaleTarget:
+	default:
+		n.losses.Record(time.Now(), out.Verdict != contract.Ran)
+	}
+}
+
 // load returns the load report that each reply carries. ChainLevel is the
 // highest of the local threshold and the thresholds of the nested calls that
 // requests of this kind make.
 func (n *Node) load(kind string) *linkpb.Load {
 	l := n.sched.Load(time.Now(), kind)
 	return &linkpb.Load{
-		InFlight:   uint32(l.InFlight),
-		Waiting:    uint32(l.Waiting),
-		Limit:      uint32(l.Slots),
-		LatencyUs:  uint32(l.Latency.Microseconds()),
-		Leaving:    n.stopping.Load() || !n.target.state().Ready,
-		Cold:       l.Cold,
-		Level:      uint32(l.Threshold),
-		ChainLevel: uint32(max(l.Threshold, n.pressure.ChainThreshold(time.Now(), kind))),
-		PaceWaitUs: uint32(min(l.PaceWait.Microseconds(), math.MaxUint32)),
-		Notice:     noticeMessage(n.target.report()),
+		InFlight:     uint32(l.InFlight),
+		Waiting:      uint32(l.Waiting),
+		Limit:        uint32(l.Slots),
+		LatencyUs:    uint32(l.Latency.Microseconds()),
+		Leaving:      n.stopping.Load() || !n.target.state().Ready,
+		Cold:         l.Cold,
+		Level:        uint32(l.Threshold),
+		ChainLevel:   uint32(max(l.Threshold, n.pressure.ChainThreshold(time.Now(), kind))),
+		LossPermille: uint32(permille * n.losses.Rate(time.Now())),
+		PaceWaitUs:   uint32(min(l.PaceWait.Microseconds(), math.MaxUint32)),
+		Notice:       noticeMessage(n.target.report()),
 	}
 }
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -100,6 +100,7 @@
 	}
 	if change == instance.Started {
 		t.n.upstream.CloseIdle()
+		t.n.losses.Reset()
 	}
 	t.n.putLocal()
 	t.n.broadcast()
