An upstream that slows down when full is not filled

Cause: some upstreams run slower with nearly all slots in use. The scheduler fills every slot, so under overload they stay at the load at which they run least. Ruled out: the swing of the threshold; gain 1,200 to 4,000, waitLevels 0 to 150 and normal waits of 15 to 60 ms change nothing in a simulation of that layout. Change: the scheduler compares the latencies of kinds that make no calls, for runs that began above and below 0.95 of the slots. Where all slots cost more than they bring, the last twentieth is left idle for 5 s, then tried again. Test: TestUpstreamsThatSlowDownWhenFullAreNotFilled.

--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -55,7 +55,9 @@
 	if alone {
 		defer n.onProbation.Store(false)
 	}
-	permit, refusal := n.sched.Acquire(ctx, now, schedulerRequest(req, now, deadline))
+	r := schedulerRequest(req, now, deadline)
+	r.MakesCalls = n.pressure.HasCalls(req.Kind)
+	permit, refusal := n.sched.Acquire(ctx, now, r)
 	if refusal != nil {
 		n.metrics.countRejected(refusal.Reason)
 		return outcome.RetryAfterReply(refusal.RetryAfter, refusal.Reason, n.refusalDetail(refusal.Reason))
--- a/internal/vm/pressure/pressure.go
+++ b/internal/vm/pressure/pressure.go
@@ -175,6 +175,14 @@
 	return highest
 }
 
+// HasCalls reports whether nested calls are known that were made for requests of the
+// kind.
+func (t *Table) HasCalls(kind string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.children[kind]) > 0
+}
+
 func (t *Table) observe(now time.Time, k key, level contract.Level) *entry {
 	e := t.entry(now, k)
 	if e == nil {
--- a/internal/vm/scheduler/calltree_test.go
+++ b/internal/vm/scheduler/calltree_test.go
@@ -22,6 +22,7 @@
 const (
 	treeHop       = 4 * time.Millisecond // one way between two nodes
 	treeNodesDown = 4                    // nodes tried for one call
+	treeKnee      = 0.95                 // share of the slots above which some upstreams are slower
 	treeWindow    = 500 * time.Millisecond
 	treeStart     = 3 * time.Second // of the overload
 	treeEnd       = 16 * time.Second
@@ -39,32 +40,85 @@
 	calls         []*treeKind
 }
 
-var (
-	treeDetails = &treeKind{name: "details", nested: true, service: "last", work: 64 * time.Millisecond, timeout: 700 * time.Millisecond}
-	treeSync    = &treeKind{name: "sync", nested: true, service: "third", work: 15 * time.Millisecond, timeout: 2500 * time.Millisecond, calls: []*treeKind{treeDetails, treeDetails, treeDetails, treeDetails, treeDetails}}
-	treeStatus  = &treeKind{name: "status", nested: true, service: "second", work: 15 * time.Millisecond, timeout: 3 * time.Second, calls: []*treeKind{treeSync}}
-	treeLookup  = &treeKind{name: "lookup", service: "first", class: contract.ClassLookup, work: 250 * time.Millisecond, timeout: 1500 * time.Millisecond, objective: 2 * time.Second, calls: []*treeKind{treeStatus, treeStatus}}
-	treeOrder   = &treeKind{name: "order", service: "second", class: contract.ClassOrder, work: 330 * time.Millisecond, timeout: 2 * time.Second, calls: []*treeKind{treeSync}}
-	treeFile    = &treeKind{name: "file", service: "last", class: contract.ClassCheck, work: 100 * time.Millisecond, timeout: 800 * time.Millisecond, objective: 400 * time.Millisecond}
-)
-
-// treeServices gives the speeds of the upstreams of each service, and their
-// slots.
-var treeServices = []struct {
+// treeService gives the slots of the upstreams of a service, and their speeds. With
+// all slots in use they are slower by the factor knee, if it is above 1.
+type treeService struct {
 	name   string
 	slots  int
 	speeds []float64
-}{
-	{"first", 96, []float64{1, 1, 1, 1}},
-	{"second", 109, []float64{1, 1, 1}},
-	{"third", 200, []float64{1, 1}},
-	{"last", 36, []float64{0.7, 1, 1, 1.3}},
+	knee   float64
+}
+
+// treeLayout is a deployment with its load, in requests a second. Each lookup makes
+// perTree calls of the last service, each order perOrder.
+type treeLayout struct {
+	services            []treeService
+	lookup, order, file *treeKind
+	details             *treeKind
+	perTree, perOrder   float64
+	quiet, lookups      float64 // lookups before treeStart, and from then on
+	orders, files       float64
+}
+
+// deepTrees is a layout of lookups that make ten calls one after the other.
+func deepTrees() treeLayout {
+	details := &treeKind{name: "details", nested: true, service: "last", work: 64 * time.Millisecond, timeout: 700 * time.Millisecond}
+	sync := &treeKind{name: "sync", nested: true, service: "third", work: 15 * time.Millisecond, timeout: 2500 * time.Millisecond, calls: []*treeKind{details, details, details, details, details}}
+	status := &treeKind{name: "status", nested: true, service: "second", work: 15 * time.Millisecond, timeout: 3 * time.Second, calls: []*treeKind{sync}}
+	return treeLayout{
+		services: []treeService{
+			{"first", 96, []float64{1, 1, 1, 1}, 1},
+			{"second", 109, []float64{1, 1, 1}, 1},
+			{"third", 200, []float64{1, 1}, 1},
+			{"last", 36, []float64{0.7, 1, 1, 1.3}, 1},
+		},
+		lookup:  &treeKind{name: "lookup", service: "first", class: contract.ClassLookup, work: 250 * time.Millisecond, timeout: 1500 * time.Millisecond, objective: 2 * time.Second, calls: []*treeKind{status, status}},
+		order:   &treeKind{name: "order", service: "second", class: contract.ClassOrder, work: 330 * time.Millisecond, timeout: 2 * time.Second, calls: []*treeKind{sync}},
+		file:    &treeKind{name: "file", service: "last", class: contract.ClassCheck, work: 100 * time.Millisecond, timeout: 800 * time.Millisecond, objective: 400 * time.Millisecond},
+		details: details, perTree: 10, perOrder: 5,
+		quiet: 100, lookups: 320, orders: 55, files: 45,
+	}
+}
+
+// smallLast is a layout whose last service has three upstreams of twenty slots that
+// are slower with all of them in use.
+func smallLast() treeLayout {
+	details := &treeKind{name: "details", nested: true, service: "last", work: 22 * time.Millisecond, timeout: 700 * time.Millisecond}
+	manifest := &treeKind{name: "manifest", nested: true, service: "third", work: 15 * time.Millisecond, timeout: 2 * time.Second, calls: []*treeKind{details, details, details, details}}
+	check := &treeKind{name: "check", nested: true, service: "second", work: 15 * time.Millisecond, timeout: 2500 * time.Millisecond, calls: []*treeKind{manifest}}
+	return treeLayout{
+		services: []treeService{
+			{"first", 89, []float64{0.5, 1, 1, 1.5, 1}, 1},
+			{"second", 112, []float64{1, 1, 1, 1.5}, 1},
+			{"third", 149, []float64{0.7, 0.7, 1.6}, 1},
+			{"last", 20, []float64{0.7, 0.7, 1.6}, 1.3},
+		},
+		lookup:  &treeKind{name: "lookup", service: "first", class: contract.ClassLookup, work: 90 * time.Millisecond, timeout: 5 * time.Second, objective: 1200 * time.Millisecond, calls: []*treeKind{check}},
+		order:   &treeKind{name: "order", service: "second", class: contract.ClassOrder, work: 120 * time.Millisecond, timeout: 1500 * time.Millisecond, calls: []*treeKind{manifest, manifest}},
+		file:    &treeKind{name: "file", service: "last", class: contract.ClassLookup, work: 72 * time.Millisecond, timeout: time.Second, objective: 250 * time.Millisecond},
+		details: details, perTree: 4, perOrder: 8,
+		quiet: 196, lookups: 480, orders: 130, files: 35,
+	}
+}
+
+// fits returns the number of lookups that fit in a window beside the other requests,
+// with no upstream slowed down.
+func (l treeLayout) fits() float64 {
+	last := l.services[len(l.services)-1]
+	capacity := 0.0
+	for _, speed := range last.speeds {
+		capacity += float64(last.slots) * speed
+	}
+	work := l.details.work.Seconds()
+	left := capacity - l.orders*l.perOrder*work - l.files*l.file.work.Seconds()
+	return left / work / l.perTree * treeWindow.Seconds()
 }
 
 // treeNode is a node with its upstream.
 type treeNode struct {
 	vm       string
 	speed    float64
+	knee     float64
 	c        *controller
 	pressure *pressure.Table
 	fleet    *fleet.Fleet
@@ -118,6 +172,7 @@
 type treeCount struct{ served, failed, refused int }
 
 type treeSim struct {
+	layout treeLayout
 	rng    *rand.Rand
 	now    time.Time
 	seq    int
@@ -128,18 +183,18 @@
 	orders treeCount
 }
 
-func newTreeSim(seed uint64) *treeSim {
-	s := &treeSim{rng: rand.New(rand.NewPCG(1, seed)), now: at(0), byVM: make(map[string]*treeNode)}
+func newTreeSim(seed uint64, layout treeLayout) *treeSim {
+	s := &treeSim{layout: layout, rng: rand.New(rand.NewPCG(1, seed)), now: at(0), byVM: make(map[string]*treeNode)}
 	s.counts = make([]treeCount, 1+treeEnd/treeWindow)
-	for _, service := range treeServices {
+	for _, service := range layout.services {
 		for i, speed := range service.speeds {
-			n := &treeNode{vm: fmt.Sprint(service.name, i), speed: speed, c: newController(service.slots), pressure: pressure.New(), fleet: fleet.New("west"), calls: correlation.New()}
+			n := &treeNode{vm: fmt.Sprint(service.name, i), speed: speed, knee: service.knee, c: newController(service.slots), pressure: pressure.New(), fleet: fleet.New("west"), calls: correlation.New()}
 			s.nodes = append(s.nodes, n)
 			s.byVM[n.vm] = n
 		}
 	}
 	for _, n := range s.nodes {
-		for _, service := range treeServices {
+		for _, service := range layout.services {
 			for i := range service.speeds {
 				vm := fmt.Sprint(service.name, i)
 				n.fleet.SetLinked(vm, true)
@@ -197,9 +252,9 @@
 
 func (s *treeSim) count(k *treeKind) *treeCount {
 	switch k {
-	case treeLookup:
+	case s.layout.lookup:
 		return &s.counts[s.since(at(0))/treeWindow]
-	case treeOrder:
+	case s.layout.order:
 		return &s.orders
 	}
 	return &treeCount{}
@@ -268,7 +323,7 @@
 
 // request returns a call as the scheduler sees it.
 func (s *treeSim) request(c *treeCall) Request {
-	r := Request{Kind: c.kind.name, Level: c.level, Admitted: c.admitted, Rank: 2 * (contract.NumClasses - int(c.level.Class())), Deadline: c.deadline, Idempotent: c.kind != treeOrder}
+	r := Request{Kind: c.kind.name, Level: c.level, Admitted: c.admitted, Rank: 2 * (contract.NumClasses - int(c.level.Class())), Deadline: c.deadline, Idempotent: c.kind != s.layout.order, MakesCalls: len(c.kind.calls) > 0}
 	if c.inner() {
 		r.Rank--
 	} else if c.kind.objective > 0 {
@@ -325,6 +380,9 @@
 func (s *treeSim) work(n *treeNode, e *entry, c *treeCall, done func(ran, ok bool)) {
 	spread := 0.5 + s.rng.Float64()
 	part := time.Duration(float64(c.kind.work) * spread / n.speed / float64(len(c.kind.calls)+1))
+	if float64(n.c.inFlight) > treeKnee*float64(n.c.slots) {
+		part = time.Duration(float64(part) * n.knee)
+	}
 	number := n.calls.Begin(correlation.Parent{ID: c.id, Kind: c.kind.name, Level: c.level, Admitted: c.admitted, Deadline: c.deadline.Truncate(time.Millisecond)})
 	end := func(ok bool) {
 		n.calls.End(number)
@@ -378,35 +436,26 @@
 
 const treeSeeds = 3
 
-// treeResults simulates a step in the load of lookups, from less than fits to
-// nearly twice as much.
-var treeResults = sync.OnceValue(func() []treeResult {
-	const (
-		lookups = 320.0 // a second from treeStart on, before it quiet
-		quiet   = 100.0
-		orders  = 55.0
-		files   = 45.0
-		slots   = 4 * 36 // of the last service
-		perTree = 10     // calls of it
-	)
-	work := treeDetails.work.Seconds()
-	fits := (slots - orders*5*work - files*treeFile.work.Seconds()) / work / perTree * treeWindow.Seconds()
+// treeResults simulates a step in the load of lookups, from less than fits to more.
+func treeResults(layout treeLayout) []treeResult {
 	var results []treeResult
 	for seed := range uint64(treeSeeds) {
-		s := newTreeSim(seed)
-		s.offer(treeLookup, func(since time.Duration) float64 {
+		s := newTreeSim(seed, layout)
+		s.offer(layout.lookup, func(since time.Duration) float64 {
 			if since < treeStart {
-				return quiet
+				return layout.quiet
 			}
-			return lookups
+			return layout.lookups
 		})
-		s.offer(treeOrder, func(time.Duration) float64 { return orders })
-		s.offer(treeFile, func(time.Duration) float64 { return files })
+		s.offer(layout.order, func(time.Duration) float64 { return layout.orders })
+		s.offer(layout.file, func(time.Duration) float64 { return layout.files })
 		s.run(treeEnd)
-		results = append(results, s.result(fits))
+		results = append(results, s.result(layout.fits()))
 	}
 	return results
-})
+}
+
+var deepTreeResults = sync.OnceValue(func() []treeResult { return treeResults(deepTrees()) })
 
 // result evaluates a simulation. fits is the number of lookups that fit in a
 // window.
@@ -436,7 +485,7 @@
 		minLowest = 0.6
 		maxDead   = 0.1
 	)
-	for seed, r := range treeResults() {
+	for seed, r := range deepTreeResults() {
 		t.Logf("seed %d: %+v", seed, r)
 		if r.mean < minMean || r.lowest < minLowest || r.dead > maxDead {
 			t.Errorf("seed %d: served %.2f of what fits, %.2f in the worst window, %.2f of the admitted failed; want at least %v, %v, at most %v",
@@ -449,10 +498,28 @@
 // a part of their calls and fail, when the load rises beyond what fits.
 func TestStepInTheLoadDoesNotStopCallTrees(t *testing.T) {
 	const minStep = 0.7
-	for seed, r := range treeResults() {
+	for seed, r := range deepTreeResults() {
 		if r.step < minStep || r.orders.failed > 0 {
 			t.Errorf("seed %d: served %.2f of what fits in %v after the step, %d orders failed; want at least %v, none: %v",
 				seed, r.step, treeSettled, r.orders.failed, minStep, r.counts)
 		}
 	}
 }
+
+// TestUpstreamsThatSlowDownWhenFullAreNotFilled guards against queues that keep an
+// upstream at a load at which it runs fewer requests than with some slots idle.
+func TestUpstreamsThatSlowDownWhenFullAreNotFilled(t *testing.T) {
+	const (
+		minMean   = 0.9
+		minLowest = 0.7
+		maxFailed = 0.05 // of the orders
+	)
+	for seed, r := range treeResults(smallLast()) {
+		failed := float64(r.orders.failed) / float64(r.orders.served+r.orders.failed+r.orders.refused)
+		t.Logf("seed %d: served %.2f of what fits, %.2f in the worst window, %.3f of the orders failed", seed, r.mean, r.lowest, failed)
+		if r.mean < minMean || r.lowest < minLowest || failed > maxFailed {
+			t.Errorf("seed %d: served %.2f of what fits, %.2f in the worst window, %.3f of the orders failed; want at least %v, %v, at most %v",
+				seed, r.mean, r.lowest, failed, minMean, minLowest, maxFailed)
+		}
+	}
+}
--- a/internal/vm/scheduler/controller.go
+++ b/internal/vm/scheduler/controller.go
@@ -32,6 +32,8 @@
 	Deadline time.Time
 	// Idempotent requests may be sent as probes to an unresponsive upstream.
 	Idempotent bool
+	// MakesCalls reports that requests of the kind are known to make nested calls.
+	MakesCalls bool
 	// NoWait requests are rejected where they would wait for the limit that
 	// the upstream names: another upstream has none.
 	NoWait bool
@@ -88,6 +90,8 @@
 	state state
 	// since is when the request arrived or, once it runs, when it was started.
 	since time.Time
+	// number is how many requests ran once it was started, itself included.
+	number int
 	// decision receives one value if the request had to wait: nil when it is
 	// started, or the refusal.
 	decision chan *Refusal
@@ -108,6 +112,7 @@
 	shedder        shedder
 	pacer          pacer
 	responsiveness responsiveness
+	saturation     saturation
 	// limitEnded is when the last limit ended. Runs from before it say nothing
 	// of the latency after it.
 	limitEnded time.Time
@@ -119,11 +124,14 @@
 	if c.slots < 1 {
 		return
 	}
-	mean := c.latencies.mean()
-	wait := time.Duration(len(c.queue)) * mean / time.Duration(c.slots)
-	c.shedder.updateThreshold(now, wait, mean, c.slots, c.queue)
+	mean, slots := c.latencies.mean(), c.usable(now)
+	wait := time.Duration(len(c.queue)) * mean / time.Duration(slots)
+	c.shedder.updateThreshold(now, wait, mean, slots, c.queue)
 }
 
+// usable returns the number of slots to use.
+func (c *controller) usable(now time.Time) int { return c.saturation.usable(now, c.slots) }
+
 // threshold is the priority level below which requests should not be sent.
 func (c *controller) threshold(now time.Time) contract.Level {
 	return max(c.shedder.threshold(), c.pacer.threshold(now, len(c.queue)))
@@ -144,7 +152,7 @@
 		c.pacer.offered(now, len(c.queue))
 	}
 	e := &entry{Request: r, since: now}
-	if c.inFlight < c.slots && len(c.queue) == 0 && c.pacer.ready(now) {
+	if c.inFlight < c.usable(now) && len(c.queue) == 0 && c.pacer.ready(now) {
 		c.start(now, e)
 		return e, nil
 	}
@@ -209,6 +217,7 @@
 	c.pacer.take(now)
 	e.state, e.since = running, now
 	c.inFlight++
+	e.number = c.inFlight
 }
 
 // release ends a running request. ran says that the upstream answered it.
@@ -223,16 +232,24 @@
 		c.responsiveness.answered(now)
 		if !e.since.Before(c.limitEnded) {
 			c.latencies.observe(e.Kind, now.Sub(e.since))
+			c.observeSaturation(now, e)
 		}
 	}
 	c.dispatch(now)
 }
 
+// observeSaturation records the latency of a request that makes no calls.
+func (c *controller) observeSaturation(now time.Time, e *entry) {
+	if !e.MakesCalls {
+		c.saturation.observe(now, e.Kind, now.Sub(e.since), e.number, c.slots)
+	}
+}
+
 // dispatch starts waiting requests while slots are free and the limit that the
 // upstream names allows it. A request that can no longer be answered in time is
 // rejected instead.
 func (c *controller) dispatch(now time.Time) {
-	for c.inFlight < c.slots && len(c.queue) > 0 {
+	for c.inFlight < c.usable(now) && len(c.queue) > 0 {
 		e := c.queue[0]
 		late := now.After(c.latestStart(e))
 		if !late && !c.pacer.ready(now) {
@@ -261,6 +278,7 @@
 	switch {
 	case !limited && !began:
 		c.latencies.reset()
+		c.saturation = saturation{}
 		c.limitEnded = now
 	case limited && began:
 		c.rejectAll(contract.ReasonUpstreamLimit)
@@ -288,7 +306,7 @@
 // nextDispatch returns the time until waiting requests can start although no
 // running one ends, and reports whether there is such a time.
 func (c *controller) nextDispatch(now time.Time) (wait time.Duration, ok bool) {
-	if len(c.queue) == 0 || c.inFlight >= c.slots {
+	if len(c.queue) == 0 || c.inFlight >= c.usable(now) {
 		return 0, false
 	}
 	return c.pacer.wait(now, 1), true
--- a/internal/vm/scheduler/scheduler.go
+++ b/internal/vm/scheduler/scheduler.go
@@ -34,6 +34,7 @@
 	defer s.mu.Unlock()
 	if fresh {
 		s.c.latencies.reset()
+		s.c.saturation = saturation{}
 		s.c.responsiveness = responsiveness{since: now}
 	}
 	s.open, s.warmAt = true, warmAt
