Nodes learn of each other over the links

Cause: a node finds others by their records, every 15 to 20 s, or when they dial it. Those that start early list before later services exist, and the store turns some of them away. Change: control frames carry a digest of the known nodes; a node whose digest differs pulls the members of the other end, one at a time, each state once. A service with a route and without a usable upstream is logged and counted, and searched for at linked nodes and in the records. Ends: a forgotten node is not learnt again from others for a minute; a node is forgotten only 45 s after it was learnt, as lists may be older than hearsay.

--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -74,6 +74,7 @@
 	Limits   Limits
 	routes   int
 	services map[string]Service
+	targets  []string            // the services that run requests, sorted
 	hosts    map[string][]*Route // by lower-case host, longest prefix first
 }
 
@@ -98,6 +99,7 @@
 	for _, list := range t.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
+	t.targets = t.findTargets()
 	return t, invalid
 }
 
@@ -157,3 +159,25 @@
 
 // NumRoutes returns the number of routes.
 func (t *Table) NumRoutes() int { return t.routes }
+
+// Targets returns the services to which routes send requests, sorted. The caller
+// must not change the slice.
+func (t *Table) Targets() []string { return t.targets }
+
+func (t *Table) findTargets() []string {
+	var names []string
+	for _, list := range t.hosts {
+		for _, r := range list {
+			if r.Unavailable {
+				continue
+			}
+			for _, s := range r.Services {
+				if s.Weight > 0 {
+					names = append(names, s.Service)
+				}
+			}
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -37,6 +37,8 @@
 	wait          tally.Histogram
 	service       tally.Histogram
 	store         map[storeOutcome]tally.Counter
+	pulls         tally.Counter
+	unserved      tally.Counter
 
 	inFlight, waiting, slots, threshold, demand, version, age, upstreams, limited, limit tally.Gauge
 }
@@ -57,6 +59,8 @@
 		wait:          telemetry.NewDurationHistogram(scope, "door_wait_seconds", buckets),
 		service:       telemetry.NewDurationHistogram(scope, "upstream_seconds", buckets),
 		store:         make(map[storeOutcome]tally.Counter),
+		pulls:         scope.Counter("members_pulled"),
+		unserved:      scope.Counter("services_without_upstream"),
 		inFlight:      scope.Gauge("door_in_flight"),
 		waiting:       scope.Gauge("door_waiting"),
 		slots:         scope.Gauge("door_slots"),
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -114,11 +114,15 @@
 	// reportsDue is sent when other nodes may lack what is known of requests that
 	// crash upstreams.
 	reportsDue wait.Signal
+	// membersChanged is sent when the known nodes have changed.
+	membersChanged wait.Signal
 	// readDue is sent when the next read of the configuration is due earlier.
 	readDue wait.Signal
 	store   storeHealth
-	// listed is set once the records of the other nodes were read.
+	// listed is set once the records of the other nodes were read. listDue is set
+	// when recordChanged asks for another reading of them.
 	listed   atomic.Bool
+	listDue  atomic.Bool
 	stopping atomic.Bool
 	// plan is the schedule of a graceful shutdown, nil until one begins.
 	plan atomic.Pointer[stopPlan]
@@ -144,24 +148,25 @@
 func New(cfg *settings.Sidecar, log *slog.Logger) *Node {
 	now := time.Now()
 	n := &Node{
-		cfg:           cfg,
-		log:           log,
-		started:       now,
-		fleet:         fleet.New(cfg.Datacentre),
-		sched:         scheduler.NewScheduler(),
-		upstream:      upstream.New(cfg.Upstream, maxIdleConns, answerMemory(cfg.Memory)),
-		objects:       platform.NewObjectClient(cfg.Platform),
-		dedup:         newDedup(),
-		correlation:   correlation.New(),
-		callers:       callers.New(),
-		pressure:      pressure.New(),
-		budget:        newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
-		poison:        poison.New(),
-		metrics:       newMetrics(),
-		freshness:     freshness.New(freshnessLimit(cfg.ApplyWithin), now),
-		recordChanged: wait.NewSignal(),
-		reportsDue:    wait.NewSignal(),
-		readDue:       wait.NewSignal(),
+		cfg:            cfg,
+		log:            log,
+		started:        now,
+		fleet:          fleet.New(cfg.Datacentre),
+		sched:          scheduler.NewScheduler(),
+		upstream:       upstream.New(cfg.Upstream, maxIdleConns, answerMemory(cfg.Memory)),
+		objects:        platform.NewObjectClient(cfg.Platform),
+		dedup:          newDedup(),
+		correlation:    correlation.New(),
+		callers:        callers.New(),
+		pressure:       pressure.New(),
+		budget:         newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
+		poison:         poison.New(),
+		metrics:        newMetrics(),
+		freshness:      freshness.New(freshnessLimit(cfg.ApplyWithin), now),
+		recordChanged:  wait.NewSignal(),
+		reportsDue:     wait.NewSignal(),
+		membersChanged: wait.NewSignal(),
+		readDue:        wait.NewSignal(),
 	}
 	n.incarnation.Store(uint64(now.UnixMicro()))
 	n.grace.Store(int64(cfg.Grace))
@@ -219,6 +224,8 @@
 	group.Go(func() error { return n.runThresholdLog(running) })
 	group.Go(func() error { return n.runCrashReports(running) })
 	group.Go(func() error { return n.runRecord(running) })
+	group.Go(func() error { return n.runMembers(running) })
+	group.Go(func() error { return n.runUnserved(running) })
 	group.Go(func() error { return n.upstream.RunIdle(running) })
 	done := make(chan error, 1)
 	go func() { done <- group.Wait() }()
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -35,6 +35,8 @@
 	mu       sync.Mutex
 	members  map[string]*linkpb.Member // by VM
 	sessions map[*link.Session]uint64  // last sequence of the local member that was sent
+	// known is what the exchange of members between nodes needs.
+	known exchange
 	// wanted holds the nodes to which links are wanted. down holds since when
 	// the link to one of them has not been up.
 	wanted map[string]bool
@@ -52,6 +54,7 @@
 		n:        n,
 		members:  make(map[string]*linkpb.Member),
 		sessions: make(map[*link.Session]uint64),
+		known:    newExchange(),
 		down:     make(map[string]time.Time),
 	}
 }
@@ -102,6 +105,9 @@
 	}
 	p.members[m.Vm] = m
 	p.changed = true
+	if p.known.put(time.Now(), old, m) {
+		p.n.membersChanged.Send()
+	}
 	p.n.fleet.Put(fleet.Upstream{
 		VM:         m.Vm,
 		Service:    m.Service,
@@ -125,6 +131,7 @@
 // remove deletes a node.
 func (p *peers) remove(vm string) {
 	p.mu.Lock()
+	p.known.remove(time.Now(), p.members[vm])
 	delete(p.members, vm)
 	p.mu.Unlock()
 	p.n.fleet.Remove(vm)
@@ -162,7 +169,11 @@
 // newFrame returns a control frame with the fields that every frame carries. Its
 // time is that of the age that it reports, however late it is sent.
 func (n *Node) newFrame() *linkpb.ControlFrame {
-	f := &linkpb.ControlFrame{Vm: n.cfg.VM, Incarnation: n.incarnation.Load(), Have: &linkpb.Have{}, SentUnixUs: time.Now().UnixMicro()}
+	digest := n.membersDigest()
+	f := &linkpb.ControlFrame{
+		Vm: n.cfg.VM, Incarnation: n.incarnation.Load(), SentUnixUs: time.Now().UnixMicro(),
+		Have: &linkpb.Have{MembersDigest: digest.Sum, MembersCount: uint32(digest.Count)},
+	}
 	read, ok := n.freshness.LastRead() // before the version, which may rise meanwhile
 	t := n.table.Load()
 	if t == nil {
@@ -232,6 +243,7 @@
 func (n *Node) SessionClosed(s *link.Session, reason error) {
 	n.peers.mu.Lock()
 	delete(n.peers.sessions, s)
+	n.peers.known.puller.Closed(s.Peer().VM)
 	n.peers.mu.Unlock()
 	if s.Dialled() {
 		n.peers.updateLink(s.Peer().VM)
@@ -254,26 +266,29 @@
 	n.broadcast()
 }
 
-// sendNewer sends on s each known member whose incarnation is higher than the
+// sendNewer sends on s the known members whose incarnation is higher than the
 // reported one. A node whose own incarnation is behind that of its earlier
 // start raises it then.
 func (p *peers) sendNewer(s *link.Session, reported []*linkpb.Member) {
+	var newer []*linkpb.Member
+	p.mu.Lock()
 	for _, m := range reported {
-		p.mu.Lock()
-		known := p.members[m.Vm]
-		p.mu.Unlock()
-		if known == nil || known.Incarnation <= m.Incarnation {
-			continue
+		if known := p.members[m.Vm]; known != nil && known.Incarnation > m.Incarnation {
+			newer = append(newer, known)
 		}
-		f := p.n.newFrame()
-		f.Members = []*linkpb.Member{known}
-		s.Send(f)
 	}
+	p.mu.Unlock()
+	if len(newer) == 0 {
+		return
+	}
+	f := p.n.newFrame()
+	f.Members = newer
+	s.Send(f)
 }
 
 // HandleFrame implements link.Handler.
 func (n *Node) HandleFrame(s *link.Session, f *linkpb.ControlFrame) {
-	n.peers.merge(f.Members...)
+	n.peers.mergeReported(f)
 	n.peers.sendNewer(s, f.Members)
 	if f.Load != nil {
 		if n.fleet.UpdateLoad(time.Now(), f.Vm, loadOf(f.Load)) {
@@ -292,6 +307,10 @@
 	if len(f.FetchDocuments) > 0 {
 		n.sendConfiguration(s)
 	}
+	if f.FetchMembers {
+		n.sendMembers(s)
+	}
+	n.pullMembers(s, f.Have)
 	n.fetchNewer(s, f.Have)
 }
 
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -66,6 +66,9 @@
 		case changed:
 			_ = wait.For(ctx, writeDelay)
 			d.write(ctx)
+			if d.n.listDue.Swap(false) {
+				d.syncAll(ctx)
+			}
 		default:
 			d.reconcile(ctx)
 		}
@@ -201,16 +204,22 @@
 			d.removeGone(ctx, o)
 		}
 	}
+	d.forgetGone(present)
+	if !present[d.n.cfg.VM] && d.revision > 0 {
+		d.refreshStored(ctx, store.ErrUnknown) // the list may be stale
+		d.write(ctx)
+	}
+}
+
+// forgetGone forgets nodes without a record that can't be reached. A list may lack
+// the record of a node that others have told of just now.
+func (d *recordTask) forgetGone(present map[string]bool) {
 	for _, vm := range d.n.peers.unreachable() {
-		if !present[vm] {
+		if !present[vm] && d.n.peers.knownFor(vm) > goneAfter {
 			d.n.log.Info("node forgotten", "vm", vm)
 			d.n.peers.remove(vm)
 		}
 	}
-	if !present[d.n.cfg.VM] && d.revision > 0 {
-		d.refreshStored(ctx, store.ErrUnknown) // the list may be stale
-		d.write(ctx)
-	}
 }
 
 // removeGone removes the record of a node that has been gone for long,
