The next instance shows that the one before has crashed

Cause: a crash was seen only where the address refuses connections. Proxies and address translation accept them while the upstream is down. Test: TestNextInstanceShowsThatARequestCrashesUpstreams, TestLostRuns.

--- a/internal/sidecar/crash.go
+++ b/internal/sidecar/crash.go
@@ -108,6 +108,10 @@
 	case out.Verdict != contract.MayHaveRun || out.Reason != contract.ReasonUpstreamFailed && out.Reason != contract.ReasonPartialAnswer:
 		return
 	case !n.hasCrashed(ctx, state):
+		n.lostRuns.add(state.ID, lostRun{key: keyOf(req), alone: alone, at: time.Now()})
+		if n.target.state().ID != state.ID { // its end became known meanwhile
+			n.blameLostRuns(state)
+		}
 		return
 	}
 	key := keyOf(req)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -94,6 +94,7 @@
 	pressure     *pressure.Table
 	budget       *budget
 	losses       losses.Tracker // of the local upstream
+	lostRuns     lostRuns
 	// poison holds the requests that crash upstreams. onProbation is set while
 	// one of them runs at the local upstream on its own.
 	poison      *poison.Table
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -135,6 +135,9 @@
 	}, answer)
 	n.observeOutcome(state, out, answer)
 	n.observeLoss(out)
+	if out.Verdict == contract.Ran {
+		n.lostRuns.answered(state.ID, sent)
+	}
 	n.observeNotice(state.ID, sent, out, answer)
 	if out.Verdict == contract.NotRun && !req.Idempotent {
 		n.dedup.remove(req.AttemptId)
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -68,6 +68,9 @@
 	if change == instance.Same {
 		return
 	}
+	if old.ID != state.ID {
+		t.n.blameLostRuns(old)
+	}
 	t.n.log.Info("upstream", "by", source, "change", change.String(), "instance", state.ID,
 		"service", state.Service, "slots", state.Slots, "ready", state.Ready,
 		"limit", limitText(state.Notice), "named_ms", age(old.LimitAt).Milliseconds(), "said_leaving", state.Notice.Leaving)
