Under overload, refused requests are spread over the time they have

Cause: Retry-After was 150 to 500 ms whatever the time left, so a refused request returned into the burst that had refused it, all of them together. Change: for want of capacity, it is drawn up to the time at which an answer can still be expected within the latency objective (two mean latencies before it), at most a third of the time left. Other refusals are as before. In an overload that lasts, as many are refused twice as exceed the capacity, whoever goes first (docs/design/shedding.md); what this changes is a short one. Test: TestRetryAfter.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -25,9 +25,12 @@
 	defaultTimeout = 30 * time.Second
 	// minRetryAfter and retryAfterJitter give the Retry-After of a rejected
 	// request: the minimum, which also stands in where no wait is known, and a
-	// random part on top of it.
+	// random part on top of it, which is longer under overload.
 	minRetryAfter    = 150 * time.Millisecond
 	retryAfterJitter = 350 * time.Millisecond
+	// A request that returns is expected to take latencyMargin times the mean
+	// latency of its kind.
+	latencyMargin = 2
 	// Clients wait at most a part of their remaining time, so Retry-After is
 	// at most the remaining time of the request divided by retryAfterDivisor.
 	retryAfterDivisor = 3
@@ -49,6 +52,7 @@
 	// level is the priority level of the root request, and admitted the
 	// threshold that it met at the ingress.
 	level, admitted contract.Level
+	received        time.Time
 	deadline        time.Time
 	// objectiveAt is when the latency objective of the route ends. The zero
 	// time means that the deadline applies.
@@ -105,7 +109,7 @@
 // accept parses a request into a call. If the request is invalid or can't be
 // served, the returned reply answers it.
 func (n *Node) accept(rc *fasthttp.RequestCtx, now time.Time) (*call, *linkpb.CallReply) {
-	c := &call{}
+	c := &call{received: now}
 	in, err := platform.ReadInbound(&rc.Request.Header)
 	c.attempt = in.Attempt
 	c.deadline = now.Add(defaultTimeout)
@@ -276,12 +280,36 @@
 }
 
 // retryAfter returns how long the client of a request that has not run should
-// wait before it sends the request again: until a slot is expected to be free,
-// at least minRetryAfter, plus jitter, and at most the part of the remaining
-// time that clients are willing to wait.
+// wait before it sends the request again: until a slot is expected to be free, at
+// least minRetryAfter, plus jitter, and at most the part of the remaining time that
+// clients are willing to wait.
 func (n *Node) retryAfter(c *call, reply *linkpb.CallReply) time.Duration {
-	wait := time.Duration(reply.RetryAfterMs) * time.Millisecond
-	wait = max(wait, minRetryAfter) + rand.N(retryAfterJitter)
-	left := time.Until(c.deadline) / retryAfterDivisor
-	return max(min(wait, left), 0)
+	most := max(time.Until(c.deadline)/retryAfterDivisor, 0)
+	wait := max(time.Duration(reply.RetryAfterMs)*time.Millisecond, minRetryAfter)
+	latest := wait + retryAfterJitter
+	if isOverload(contract.Reason(reply.Reason)) {
+		latest = max(latest, min(n.latestReturn(c), most))
+	}
+	return min(wait+rand.N(latest-wait), most)
+}
+
+// latestReturn returns how long the client of a call can wait and still expect an
+// answer within the latency objective. Under overload, requests that return later
+// meet fewer of those that caused it, and do not all meet one another.
+func (n *Node) latestReturn(c *call) time.Duration {
+	if c.route == nil {
+		return 0
+	}
+	now := time.Now()
+	expected := latencyMargin * n.fleet.Latency(now, c.service, c.route.Name)
+	return c.route.Objective - now.Sub(c.received) - expected
+}
+
+// isOverload reports whether a request was rejected for want of capacity.
+func isOverload(r contract.Reason) bool {
+	switch r {
+	case contract.ReasonOverload, contract.ReasonQueueTimeout, contract.ReasonUpstreamLimit:
+		return true
+	}
+	return false
 }
--- a/internal/sidecar/unit_test.go
+++ b/internal/sidecar/unit_test.go
@@ -17,6 +17,7 @@
 	"heathershed/internal/contract"
 	"heathershed/internal/fleet"
 	"heathershed/internal/link"
+	"heathershed/internal/outcome"
 	"heathershed/internal/routes"
 	"heathershed/internal/settings"
 	"heathershed/internal/vm/correlation"
@@ -33,6 +34,15 @@
 	return c
 }
 
+// dials reports whether something listens at an address.
+func dials(address string) bool {
+	c, err := net.Dial("tcp", address)
+	if err == nil {
+		_ = c.Close()
+	}
+	return err == nil
+}
+
 func TestDedupRejectsRepeatedOrderID(t *testing.T) {
 	h := newDedup()
 	if !h.add("a") || h.add("a") {
@@ -260,3 +270,39 @@
 		t.Errorf("got level %d and threshold %d, want %d and %d", got.Level, got.Admitted, level, admitted)
 	}
 }
+
+func TestRetryAfter(t *testing.T) {
+	const ms = time.Millisecond
+	cases := []struct {
+		name            string
+		reason          contract.Reason
+		objective, left time.Duration
+		latency, asked  time.Duration
+		min, max        time.Duration
+	}{
+		{"link lost", contract.ReasonLinkLost, 1500 * ms, 5000 * ms, 100 * ms, 0, 150 * ms, 500 * ms},
+		{"overload, long objective", contract.ReasonOverload, 1500 * ms, 5000 * ms, 100 * ms, 0, 150 * ms, 1300 * ms},
+		{"overload, objective nearly used by the work", contract.ReasonOverload, 300 * ms, 5000 * ms, 100 * ms, 0, 150 * ms, 500 * ms},
+		{"overload, short deadline", contract.ReasonOverload, 1500 * ms, 900 * ms, 100 * ms, 0, 150 * ms, 300 * ms},
+		{"overload, slot expected later", contract.ReasonQueueTimeout, 1500 * ms, 5000 * ms, 100 * ms, 600 * ms, 600 * ms, 1300 * ms},
+		{"no objective", contract.ReasonOverload, 0, 5000 * ms, 100 * ms, 0, 150 * ms, 500 * ms},
+		{"deadline passed", contract.ReasonOverload, 1500 * ms, -ms, 100 * ms, 0, 0, 0},
+	}
+	for _, tc := range cases {
+		n := newNodeWithPeers(t, 0)
+		n.fleet.Put(fleet.Upstream{VM: "far", Service: "s", Instance: "i", Slots: 1, Ready: true})
+		n.fleet.SetLinked("far", true)
+		choice, _ := n.fleet.Pick(time.Now(), fleet.Query{Service: "s", Kind: "k"})
+		n.fleet.Done(time.Now(), choice, fleet.Result{Verdict: contract.Ran, Kind: "k", Load: &fleet.Load{Latency: tc.latency}})
+		lowest, highest := time.Hour, time.Duration(0)
+		for range 200 {
+			now := time.Now()
+			c := &call{received: now, deadline: now.Add(tc.left), service: "s", route: &routes.Route{Name: "k", Objective: tc.objective}}
+			got := n.retryAfter(c, outcome.RetryAfterReply(tc.asked, tc.reason, ""))
+			lowest, highest = min(lowest, got), max(highest, got)
+		}
+		if lowest < tc.min || highest > tc.max || highest < tc.max-tc.max/5 {
+			t.Errorf("%s: got %v to %v, want %v to about %v", tc.name, lowest, highest, tc.min, tc.max)
+		}
+	}
+}
