--- a/internal/sidecar/cluster_test.go
+++ b/internal/sidecar/cluster_test.go
@@ -108,11 +108,21 @@
 	u.handle = h
 }
 
+// replace makes the upstream another instance.
+func (u *testUpstream) replace() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.id += "-new"
+}
+
 // ServeHTTP rejects requests for another instance, as the platform's upstreams
 // do, and passes the others to the handler.
 func (u *testUpstream) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	if r.Header.Get(platformtest.HeaderExpected) != u.id {
-		rw.Header().Set(platformtest.HeaderInstance, u.id)
+	u.mu.Lock()
+	id := u.id
+	u.mu.Unlock()
+	if r.Header.Get(platformtest.HeaderExpected) != id {
+		rw.Header().Set(platformtest.HeaderInstance, id)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -121,7 +131,7 @@
 	handle := u.handle
 	u.mu.Unlock()
 	rw.Header().Set(platformtest.HeaderAttempt, r.Header.Get(platformtest.HeaderAttempt))
-	rw.Header().Set(platformtest.HeaderSeal, "seal-"+u.id)
+	rw.Header().Set(platformtest.HeaderSeal, "seal-"+id)
 	handle(rw, r)
 }
 
