--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"heathershed/internal/wait"
@@ -104,9 +105,11 @@
 	n.logClosed("links", <-links)
 	n.cancelRequests()
 	cancel()
-	n.logClosed("ready", n.ready.ShutdownWithContext(answered))
-	n.logClosed("heartbeats", n.heartbeats.ShutdownWithContext(answered))
-	n.logClosed("metrics", n.metricsServer.Close())
+	var others sync.WaitGroup
+	others.Go(func() { n.logClosed("ready", n.ready.ShutdownWithContext(answered)) })
+	others.Go(func() { n.logClosed("heartbeats", n.heartbeats.ShutdownWithContext(answered)) })
+	others.Go(func() { n.logClosed("metrics", n.metricsServer.Close()) })
+	others.Wait()
 }
 
 // requestContext returns ctx with a deadline, cancelled also when a shutdown
