Test: wait for ready before the first heartbeat

TestNestedCallsContinueDuringShutdown sent a heartbeat before the node listened: connection refused, 4 of 10 beside load (KNOWN-RED). What is left of its failures: the nested call is not related to its request where the upstream begins more than 10 ms after the node has sent it (seen once, beside 100 nodes in one process).

--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -295,6 +295,7 @@
 	tc := newTestCluster(t)
 	tc.configure(1, "near", "far")
 	near, far := tc.start("near"), tc.start("far")
+	tc.waitFor("both ready", func() bool { return near.ready() && far.ready() })
 	near.heartbeat("near", "ready")
 	far.heartbeat("far", "ready")
 	near.waitServing("/far/x")
