--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -124,6 +124,7 @@
 		choice, ok := n.fleet.Pick(time.Now(), fleet.Query{
 			Service:      c.service,
 			Kind:         c.route.Name,
+			Order:        !c.route.Idempotent || c.level.Class() == contract.ClassOrder,
 			Exclude:      s.tried,
 			Only:         n.onlyVM(c),
 			AvoidLimited: s.limited,
@@ -231,6 +232,7 @@
 		Latency:  time.Duration(l.LatencyUs) * time.Microsecond,
 		Draining: l.Leaving,
 		Cold:     l.Cold,
+		LossRate: float64(l.LossPermille) / permille,
 
 		PacedUntil: time.Now().Add(time.Duration(l.PaceWaitUs) * time.Microsecond),
 		Report:     reportOf(l.Notice),
