Logs and metrics tell of slots left idle and of lost answers

A decision that requests hang on had no line: slots left idle, with the slowdown that decided it; gauges of the usable slots and of the share of lost requests. Also: a frame without a digest no longer counts as an answer to a pull, exponents of times by a pattern, and words of comments that had to be read twice.

--- a/internal/fleet/latency.go
+++ b/internal/fleet/latency.go
@@ -15,6 +15,9 @@
 	limitedHalfLife = time.Second
 	// defaultLatency is assumed while no latency is known.
 	defaultLatency = 100 * time.Millisecond
+	// minWeight is left of the oldest answer, so that the mean of answers that are all
+	// old is defined.
+	minWeight = 1e-9
 )
 
 // latency is that of one kind of request at one upstream, as an answer reported it.
@@ -41,7 +44,7 @@
 		if !known {
 			continue
 		}
-		w := max(l.weight(now, latencyHalfLife), math.SmallestNonzeroFloat32)
+		w := max(l.weight(now, latencyHalfLife), minWeight)
 		sum += w * l.value.Seconds()
 		weights += w
 		lowest = min(lowest, l.value)
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -165,23 +165,29 @@
 	return nil
 }
 
-// parseDuration is time.ParseDuration that also takes an exponent in a number
-// with one unit, such as 1.5e3ms.
+// scaledPattern matches a number with one unit of time.
+var scaledPattern = regexp.MustCompile(`^([0-9.]+(?:[eE][+-]?[0-9]+)?)(ns|us|ms|s|m|h)$`)
+
+// parseDuration is time.ParseDuration that also takes an exponent in a number with one
+// unit, such as 1.5e3ms.
 func parseDuration(text string) (time.Duration, error) {
-	digits := strings.TrimRight(text, "abcdfghijklmnopqrstuvwxyzµμ")
-	unit, err := time.ParseDuration("1" + text[len(digits):])
+	parts := scaledPattern.FindStringSubmatch(text)
+	if parts == nil {
+		return time.ParseDuration(text)
+	}
+	unit, err := time.ParseDuration("1" + parts[2])
 	if err != nil {
 		return 0, err
 	}
-	count, err := strconv.ParseFloat(digits, 64)
+	count, err := strconv.ParseFloat(parts[1], 64)
 	if err != nil {
-		return time.ParseDuration(text)
+		return 0, err
 	}
-	d := count * float64(unit)
-	if !(math.Abs(d) < math.MaxInt64) {
+	d := math.Round(count * float64(unit))
+	if d >= math.MaxInt64 {
 		return 0, errors.Newf("%q is out of range", text)
 	}
-	return time.Duration(math.Round(d)), nil
+	return time.Duration(d), nil
 }
 
 // amount is a number from min to max, fractions included.
--- a/internal/sidecar/logs.go
+++ b/internal/sidecar/logs.go
@@ -110,16 +110,28 @@
 	thresholdStep = 128
 )
 
-// runThresholdLog is the task that logs how the threshold of the local
-// scheduler moves.
-func (n *Node) runThresholdLog(ctx context.Context) error {
-	logged := contract.Level(0)
+// runSchedulerLog is the task that logs how the threshold of the local scheduler
+// and the slots that it uses change.
+func (n *Node) runSchedulerLog(ctx context.Context) error {
+	logged, reduced := contract.Level(0), false
 	for wait.For(ctx, thresholdInterval) == nil {
-		logged = n.logThreshold(n.sched.Load(time.Now(), ""), logged)
+		load := n.sched.Load(time.Now(), "")
+		logged = n.logThreshold(load, logged)
+		reduced = n.logUsable(load, reduced)
 	}
 	return nil
 }
 
+// logUsable logs when the scheduler begins or ceases to leave slots idle because the
+// upstream is slower with all of them in use. It takes and returns whether it does.
+func (n *Node) logUsable(load scheduler.Load, before bool) bool {
+	reduced := load.Usable < load.Slots
+	if reduced != before {
+		n.log.Info("slots left idle", "usable", load.Usable, "slots", load.Slots, "slowdown", load.Slowdown)
+	}
+	return reduced
+}
+
 // logThreshold logs the threshold if it differs by thresholdStep or more from
 // the one that was logged last, or has returned to 0. It returns the one that
 // was logged last.
--- a/internal/sidecar/lostruns.go
+++ b/internal/sidecar/lostruns.go
@@ -23,10 +23,10 @@
 	at    time.Time
 }
 
-// lostRuns holds the runs that an instance of the upstream has not answered since its
-// last answer, while it is not known whether it has ended. Behind a proxy nothing
-// refuses a connection; then only the next instance shows the end. It is safe for
-// concurrent use.
+// lostRuns holds the runs that were lost at an instance of the upstream of which it is
+// not known whether it has ended: a proxy may accept connections in its place. The next
+// instance shows that it has, an answer to a later request that it has not. It is safe
+// for concurrent use.
 type lostRuns struct {
 	mu       sync.Mutex
 	instance string
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -115,7 +115,7 @@
 		}
 		accepted = append(accepted, m)
 	}
-	if theirs := digestOf(f.Have); len(f.Members) == theirs.Count {
+	if theirs := digestOf(f.Have); theirs.Count > 0 && len(f.Members) == theirs.Count {
 		p.known.puller.Answered(f.Vm, theirs)
 	}
 	p.mu.Unlock()
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -40,7 +40,7 @@
 	pulls         tally.Counter
 	unserved      tally.Counter
 
-	inFlight, waiting, slots, threshold, demand, version, age, upstreams, limited, limit tally.Gauge
+	inFlight, waiting, slots, usable, loss, threshold, demand, version, age, upstreams, limited, limit tally.Gauge
 }
 
 // storeOutcome identifies a counter of calls to the object API: the call, and
@@ -64,6 +64,8 @@
 		inFlight:      scope.Gauge("door_in_flight"),
 		waiting:       scope.Gauge("door_waiting"),
 		slots:         scope.Gauge("door_slots"),
+		usable:        scope.Gauge("door_slots_usable"),
+		loss:          scope.Gauge("upstream_loss_share"),
 		threshold:     scope.Gauge("door_threshold"),
 		demand:        scope.Gauge("door_demand"),
 		version:       scope.Gauge("configuration_version"),
@@ -171,6 +173,8 @@
 		n.metrics.inFlight.Update(float64(load.InFlight))
 		n.metrics.waiting.Update(float64(load.Waiting))
 		n.metrics.slots.Update(float64(load.Slots))
+		n.metrics.usable.Update(float64(load.Usable))
+		n.metrics.loss.Update(n.losses.Rate(time.Now()))
 		n.metrics.threshold.Update(float64(load.Threshold))
 		n.metrics.demand.Update(load.Demand)
 		if t := n.table.Load(); t != nil {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -222,7 +222,7 @@
 	group.Go(func() error { return n.runFreshness(running) })
 	group.Go(func() error { return n.peers.runLinks(running) })
 	group.Go(func() error { return n.runGauges(running) })
-	group.Go(func() error { return n.runThresholdLog(running) })
+	group.Go(func() error { return n.runSchedulerLog(running) })
 	group.Go(func() error { return n.runCrashReports(running) })
 	group.Go(func() error { return n.runRecord(running) })
 	group.Go(func() error { return n.runMembers(running) })
--- a/internal/vm/scheduler/controller.go
+++ b/internal/vm/scheduler/controller.go
@@ -2,9 +2,9 @@
 // and which are rejected.
 //
 // The node beside an upstream is the only way to it, so its scheduler knows
-// exactly how many requests run there. It is work conserving: no slot stays
-// idle while a request waits. Waiting requests are started by rank and, within
-// a rank, by deadline. A request that can't be answered in time is
+// exactly how many requests run there. No slot stays idle while a request waits,
+// unless the upstream runs fewer requests a second with all slots in use. Waiting
+// requests are started by rank and, within a rank, by deadline. A request that can't be answered in time is
 // rejected when it arrives, or as soon as that becomes known, so that its
 // caller loses no time. A rejected request has not run.
 //
@@ -62,6 +62,11 @@
 type Load struct {
 	// InFlight, Waiting and Slots count requests.
 	InFlight, Waiting, Slots int
+	// Usable is the number of slots that are used; less than Slots while the
+	// upstream is known to slow down with all of them in use. Slowdown is the mean
+	// latency with nearly all slots in use over that with some idle; 0 if unknown.
+	Usable   int
+	Slowdown float64
 	// Latency is the recent mean latency of the upstream, of one kind or of all.
 	Latency time.Duration
 	// Cold says that the upstream is still warming up.
--- a/internal/vm/scheduler/saturation.go
+++ b/internal/vm/scheduler/saturation.go
@@ -56,7 +56,7 @@
 	return slots
 }
 
-// observe records a run of a kind that began as the n-th at its time.
+// observe records a run of a kind that began when n requests ran, itself included.
 func (s *saturation) observe(now time.Time, kind string, took time.Duration, n, slots int) {
 	if n <= reduced(slots) {
 		s.observeBelow(kind, took)
@@ -72,7 +72,7 @@
 	}
 	if s.slowdown.value > slowdownMargin*float64(slots)/float64(reduced(slots)) {
 		s.until = now.Add(saturationHold)
-		s.slowdown = runMean{}
+		s.slowdown.runs = 0
 	}
 }
 
--- a/internal/vm/scheduler/scheduler.go
+++ b/internal/vm/scheduler/scheduler.go
@@ -160,6 +160,8 @@
 		InFlight:  s.c.inFlight,
 		Waiting:   len(s.c.queue),
 		Slots:     s.c.slots,
+		Usable:    s.c.usable(now),
+		Slowdown:  s.c.saturation.slowdown.value,
 		Latency:   latency,
 		Cold:      now.Before(s.warmAt),
 	}
