Latencies of rare kinds are not forgotten between two requests

Cause: with a half-life of 1 s a node that sends an order to each upstream every few seconds had always forgotten which are slow. Change: a latency counts fully for 5 s and not at all after 10 s. Test: TestRareKindsAreSentToQuickUpstreams (half-life of 1 s: fails).

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -274,3 +274,23 @@
 		}
 	}
 }
+
+// TestRareKindsAreSentToQuickUpstreams guards against latencies that are forgotten
+// between two requests of a kind: one that a slow upstream runs may exceed its timeout.
+func TestRareKindsAreSentToQuickUpstreams(t *testing.T) {
+	f := newFleet()
+	f.moveRemote("west")
+	latencies := map[string]time.Duration{"local": 2 * time.Second, "remote": 500 * time.Millisecond}
+	now, slow := epoch, 0
+	for i := range 100 {
+		now = now.Add(3 * time.Second)
+		c, _ := f.Pick(now, Query{Service: "span", Kind: "k", Random: uint64(i)})
+		if c.VM == "local" {
+			slow++
+		}
+		f.Done(now, c, Result{Verdict: contract.Ran, Kind: "k", Load: &Load{Slots: 10, Latency: latencies[c.VM]}})
+	}
+	if slow > 30 {
+		t.Errorf("%d of 100 requests, 3 s apart, sent to the slow upstream, want at most 30", slow)
+	}
+}
--- a/internal/fleet/latency.go
+++ b/internal/fleet/latency.go
@@ -6,9 +6,11 @@
 )
 
 const (
-	// latencyHalfLife is the time in which a known latency loses half of its weight:
-	// an upstream that is not chosen because it was slow must be tried again.
-	latencyHalfLife = time.Second
+	// A known latency counts fully for freshLatency and not at all after maxLatencyAge:
+	// an upstream that is not chosen because it was slow must be tried again. One node
+	// may send few requests of a kind to each upstream, seconds apart.
+	freshLatency  = 5 * time.Second
+	maxLatencyAge = 10 * time.Second
 	// limitedHalfLife is the time in which the known latency of an upstream
 	// that names a limit halves: only its answers show that the limit has
 	// ended, so it must be tried again soon.
@@ -26,9 +28,10 @@
 	at    time.Time
 }
 
-// weight is what is left of an answer after some time, from 1 to 0.
-func (l latency) weight(now time.Time, halfLife time.Duration) float64 {
-	return math.Exp2(-now.Sub(l.at).Seconds() / halfLife.Seconds())
+// weight is what the latency counts after some time, from 1 to 0.
+func (l latency) weight(now time.Time) float64 {
+	left := maxLatencyAge - now.Sub(l.at)
+	return min(max(left.Seconds()/(maxLatencyAge-freshLatency).Seconds(), 0), 1)
 }
 
 // kindLatency is what is known of the latency of a kind over the upstreams of a
@@ -44,7 +47,7 @@
 		if !known {
 			continue
 		}
-		w := max(l.weight(now, latencyHalfLife), minWeight)
+		w := max(l.weight(now), minWeight)
 		sum += w * l.value.Seconds()
 		weights += w
 		lowest = min(lowest, l.value)
@@ -73,8 +76,9 @@
 		return service.lowest
 	}
 	if e.heard().Limited {
-		return time.Duration(float64(l.value) * l.weight(now, limitedHalfLife))
+		left := math.Exp2(-now.Sub(l.at).Seconds() / limitedHalfLife.Seconds())
+		return time.Duration(float64(l.value) * left)
 	}
 	excess := float64(l.value - service.mean)
-	return service.mean + time.Duration(excess*l.weight(now, latencyHalfLife))
+	return service.mean + time.Duration(excess*l.weight(now))
 }
--- a/internal/sidecar/unserved.go
+++ b/internal/sidecar/unserved.go
@@ -19,6 +19,8 @@
 	minSearchPause = 500 * time.Millisecond
 	maxSearchPause = listInterval
 	peersAsked     = 2
+	// listFromSearch is the first search that lists the records as well.
+	listFromSearch = 3
 )
 
 // outage is the time without an upstream of one service.
@@ -92,7 +94,7 @@
 }
 
 // search asks other nodes for the upstreams of services of which none is known. From
-// the second time on, it lists the records in the object API too: one list for each
+// listFromSearch on, it lists the records in the object API too: one list for each
 // node of a fleet that starts would be many.
 func (u *unserved) search(now time.Time, unknown bool) {
 	if !unknown {
@@ -106,7 +108,7 @@
 	u.searches++
 	u.searchAt = now.Add(u.backoff.Next())
 	u.n.askForMembers()
-	if u.searches > 1 {
+	if u.searches >= listFromSearch {
 		u.n.listDue.Store(true)
 		u.n.recordChanged.Send()
 	}
