--- a/internal/vm/scheduler/controller.go
+++ b/internal/vm/scheduler/controller.go
@@ -4,9 +4,9 @@
 // The node beside an upstream is the only way to it, so its scheduler knows
 // exactly how many requests run there. No slot stays idle while a request waits,
 // unless the upstream runs fewer requests a second with all slots in use. Waiting
-// requests are started by rank and, within a rank, by deadline. A request that can't be answered in time is
-// rejected when it arrives, or as soon as that becomes known, so that its
-// caller loses no time. A rejected request has not run.
+// requests are started by rank and, within a rank, by deadline. A request that
+// can't be answered in time is rejected when it arrives, or as soon as that becomes
+// known, so that its caller loses no time. A rejected request has not run.
 //
 // Under load beyond the slots of the upstream, the most urgent requests wait
 // for at most one slot to become free and the others are rejected early.
--- a/internal/vm/scheduler/saturation.go
+++ b/internal/vm/scheduler/saturation.go
@@ -8,7 +8,7 @@
 	saturatedShare = 0.95
 	// minRuns is the number of runs after which a mean counts, below and above that
 	// share.
-	minRuns = 64
+	minRuns = 128
 	// slowdownMargin is how much more the slowdown must cost than the slots that
 	// are left idle for it.
 	slowdownMargin = 1.1
@@ -16,7 +16,7 @@
 	// with all of them again.
 	saturationHold = 5 * time.Second
 	// saturationWeight is the weight of one run in a mean.
-	saturationWeight = 0.02
+	saturationWeight = 0.01
 )
 
 // saturation finds out whether an upstream runs fewer requests a second with all of
