--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -407,7 +407,7 @@
 }
 
 func (b *bed) send(interval time.Duration, m *machine, service string, order bool) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second}}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: 10 * time.Second}}
 	defer client.CloseIdleConnections()
 	var wg sync.WaitGroup
 	defer wg.Wait()
