--- a/review/bed/cases.go
+++ b/review/bed/cases.go
@@ -79,7 +79,7 @@
 	time.Sleep(stableWindow + time.Second)
 	from := time.Now()
 	if b.trouble {
-		ok := postTo(m.addr["control"], "/v1/Instances.Heartbeat/i-other", beatBody("no-such-service", m.addr["app"], m.zone, "ready", 1))
+		ok := postTo(m.addr["control"], "/v1/Instances.Heartbeat/i-other", beatBody("no-such-service", m.addr["app"], m.zone, "ready", 1, time.Now().UnixMilli()))
 		b.say("%s gets a heartbeat of another writer, with a service that is not named; acknowledged: %v", m.name, ok)
 	}
 	time.Sleep(10 * time.Second)
--- a/review/bed/target.go
+++ b/review/bed/target.go
@@ -23,6 +23,7 @@
 	bed               *bed
 	m                 *machine
 	id                string
+	born              int64 // Unix milliseconds of its start
 	work              func(r *http.Request) time.Duration
 	server            *http.Server
 	stop              chan struct{}
@@ -39,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &target{bed: b, m: m, id: id, stop: make(chan struct{}), state: "ready", inFlight: map[string]bool{}, work: b.work}
+	t := &target{bed: b, m: m, id: id, born: time.Now().UnixMilli(), stop: make(chan struct{}), state: "ready", inFlight: map[string]bool{}, work: b.work}
 	t.server = &http.Server{Handler: t}
 	go func() { _ = t.server.Serve(l) }()
 	go t.beat()
@@ -66,7 +67,7 @@
 	for {
 		t.mu.Lock()
 		t.seq++
-		body := beatBody(t.m.service, t.m.addr["app"], t.m.zone, t.state, t.seq)
+		body := beatBody(t.m.service, t.m.addr["app"], t.m.zone, t.state, t.seq, t.born)
 		t.mu.Unlock()
 		ok := t.post("/v1/Instances.Heartbeat/"+t.id, body)
 		t.mu.Lock()
@@ -83,9 +84,9 @@
 	}
 }
 
-func beatBody(service, address, zone, state string, seq int) string {
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","capacity":%d,"state":%q,"warmupLeft":"0ms","seq":%d}`,
-		service, address, zone, slots, state, seq)
+func beatBody(service, address, zone, state string, seq int, born int64) string {
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","capacity":%d,"state":%q,"warmupLeft":"0ms","seq":%d,"born":%d}`,
+		service, address, zone, slots, state, seq, born)
 }
 
 // post sends a call to the node beside the target. It reports a 2xx answer within a
@@ -107,7 +108,7 @@
 // deregister says that the target leaves and returns when that was acknowledged, or
 // the zero time.
 func (t *target) deregister() time.Time {
-	if !t.post("/v1/Instances.Deregister/"+t.id, "{}") {
+	if !t.post("/v1/Instances.Deregister/"+t.id, fmt.Sprintf(`{"born":%d}`, t.born)) {
 		return time.Time{}
 	}
 	return time.Now()
