--- a/review/bed/sameid.go
+++ b/review/bed/sameid.go
@@ -23,7 +23,10 @@
 		// serves is for how long it serves once its drain is acknowledged.
 		serves   = 8 * time.Second
 		deadline = 2 * time.Second
-		interval = 500 * time.Millisecond
+		// quiet is the time between two orders of one client until the crash is over,
+		// busy the one after that.
+		quiet = 500 * time.Millisecond
+		busy  = 100 * time.Millisecond
 	)
 	const booking, manifest = "booking-desk", "manifest-store"
 	b.site = sahmMesh
@@ -46,13 +49,13 @@
 	b.newTarget(front, "i-00front", manifest)
 	leaves := b.newTarget(first, "i-00leaves", booking)
 	for _, t := range b.targets {
-		t.work = 30 * time.Millisecond
+		t.work = 120 * time.Millisecond
 	}
 	if err := b.startAll(); err != nil {
 		return false, err
 	}
 	clients := b.newClient(front, "book")
-	traffic := func(most time.Duration) {
+	traffic := func(most, interval time.Duration) {
 		ctx, cancel := context.WithTimeout(context.Background(), most)
 		defer cancel()
 		var wg sync.WaitGroup
@@ -60,7 +63,7 @@
 		wg.Go(func() { clients.every(ctx, interval, http.MethodPost, "/book/2", "ward 8", deadline) })
 		wg.Wait()
 	}
-	traffic(lived)
+	traffic(lived, quiet)
 
 	// The crash falls between two requests.
 	if b.trouble {
@@ -75,14 +78,20 @@
 		b.rec.say("the target has crashed and started again under its id")
 	}
 	restarted := time.Now()
-	traffic(again)
+	traffic(again, busy)
 	b.rec.say("the target drains")
 	leaves.drain()
 	acked := leaves.ackedAt()
 	if acked.IsZero() {
 		return false, fmt.Errorf("the drain was not acknowledged")
 	}
-	traffic(serves)
+	var wg sync.WaitGroup
+	wg.Go(func() { traffic(serves+time.Second, busy) })
+	time.Sleep(time.Until(acked.Add(serves)))
+	leaves.deregister()
+	leaves.crash()
+	b.rec.say("the target has deregistered and ended")
+	wg.Wait()
 
 	before, late := 0, 0
 	for _, r := range leaves.allRuns() {
@@ -93,6 +102,13 @@
 			late++
 		}
 	}
-	b.rec.say("runs at the draining target: %d between its start and its drain, %d later than %v after the acknowledgement", before, late, b.site.drain)
+	lost := 0
+	for _, r := range clients.all() {
+		if r.sent.After(acked) && r.status != http.StatusOK && r.status != http.StatusServiceUnavailable {
+			lost++
+			b.rec.add("order %s: status %d, err %v", r.attempt, r.status, r.err)
+		}
+	}
+	b.rec.say("runs at the draining target: %d between its start and its drain, %d later than %v after the acknowledgement; %d orders lost at its end", before, late, b.site.drain, lost)
 	return late > 0, nil
 }
