Review, case 3: an answer without a seal is passed on as a success

What was done: a script case; a faulty target sends additional bytes, late, which are a 200 without id and seal.

--- a/review/bed/second.go
+++ b/review/bed/second.go
@@ -26,8 +26,11 @@
 	requests atomic.Int64
 	// faulty counts the answers given while the target was faulty, extra the second
 	// ones.
-	faulty   atomic.Int64
-	extra    atomic.Int64
+	faulty atomic.Int64
+	extra  atomic.Int64
+	// stray is what the target sends late, beyond a complete answer, while it is
+	// faulty; empty for rejections that are sent twice.
+	stray    string
 	listener net.Listener
 }
 
@@ -70,7 +73,12 @@
 		if t.garbled.Load() {
 			t.faulty.Add(1)
 		}
-		if rejectedBefore && t.garbled.Load() && float64(t.extra.Load()+1) <= garbleShare*float64(t.faulty.Load()) {
+		if t.stray != "" && t.garbled.Load() && float64(t.extra.Load()+1) <= garbleShare*float64(t.faulty.Load()) {
+			t.extra.Add(1)
+			t.bed.rec.add("target %s: sends additional bytes before its answer to %s", t.id, r.Header.Get(headerAttempt))
+			fmt.Fprint(c, t.stray)
+		}
+		if t.stray == "" && rejectedBefore && t.garbled.Load() && float64(t.extra.Load()+1) <= garbleShare*float64(t.faulty.Load()) {
 			t.extra.Add(1)
 			t.bed.rec.add("target %s: sends its rejection of the request before %s once more", t.id, r.Header.Get(headerAttempt))
 			fmt.Fprint(c, rejection)
