--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,8 +3,8 @@
 # was broken, 0 if it held and 2 if the case couldn't run. TROUBLE=0 leaves the
 # disruption out. Build first: the deploy file's line, and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
-if [ ! -x target/heathershed-sidecar ] || [ ! -x review/out/bed ]; then
+if [ ! -x target/heathershed-sidecar ] || [ ! -x out/review/bed ]; then
     echo "build first: the deploy file's line, and review/build.sh" >&2
     exit 2
 fi
-exec review/out/bed leaving-forgotten review/5
+exec out/review/bed leaving-forgotten review/5
