--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -35,7 +35,7 @@
 }
 
 // serveHeartbeat handles heartbeats and deregistrations of the upstream beside
-// this node.
+// this node. That the upstream leaves is stored before it is acknowledged.
 func (n *Node) serveHeartbeat(rc *fasthttp.RequestCtx) {
 	path := string(rc.Path())
 	if !rc.IsPost() {
@@ -45,6 +45,7 @@
 	rc.SetContentType("application/json")
 	if id, ok := platform.DeregisterID(path); ok {
 		n.target.update("deregister", func(tr *instance.Tracker) instance.Change { return tr.Deregister(id) })
+		n.awaitLeavingStored(id)
 		rc.SetBodyString("{}")
 		return
 	}
@@ -60,5 +61,6 @@
 		return
 	}
 	n.target.update("heartbeat", func(tr *instance.Tracker) instance.Change { return tr.HandleHeartbeat(time.Now(), heartbeat) })
+	n.awaitLeavingStored(id)
 	rc.SetBodyString("{}")
 }
--- /dev/null
+++ b/internal/sidecar/leaving.go
@@ -0,0 +1,126 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"heathershed/internal/contract"
+	"heathershed/internal/upstream"
+	"heathershed/internal/vm/instance"
+	"heathershed/platform"
+)
+
+// An upstream that leaves may say so only once, and its node may be restarted while
+// it serves on. So the node stores that it leaves before it acknowledges that, and
+// after a restart sends it nothing until the upstream has said something itself. See
+// docs/design/notices.md.
+
+const (
+	// leavingStoreWait bounds how long the acknowledgement of a leaving waits for
+	// the object API. Upstreams wait a second.
+	leavingStoreWait = 500 * time.Millisecond
+	// healthTimeout bounds a health check, maxHealthBody its answer in bytes.
+	healthTimeout = time.Second
+	maxHealthBody = 4 << 10
+	// maxHealthChecks bounds the health checks of one expected instance.
+	maxHealthChecks = 3
+)
+
+// storedInstance is what the object API holds of the local upstream.
+type storedInstance struct {
+	mu      sync.Mutex
+	value   instance.Stored
+	changed chan struct{} // closed and replaced with each change
+}
+
+func newStoredInstance() *storedInstance {
+	return &storedInstance{changed: make(chan struct{})}
+}
+
+func (s *storedInstance) set(value instance.Stored) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.value = value
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *storedInstance) get() (value instance.Stored, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.value, s.changed
+}
+
+// awaitLeavingStored waits until the object API holds that the instance leaves, if it
+// does, and at most leavingStoreWait.
+func (n *Node) awaitLeavingStored(id string) {
+	timer := time.NewTimer(leavingStoreWait)
+	defer timer.Stop()
+	for {
+		value, changed := n.stored.get()
+		want := n.target.state().Stored()
+		if want.ID != id || !want.Leaving || value == want {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			n.log.Warn("leaving not stored yet", "instance", id, "waited_ms", leavingStoreWait.Milliseconds())
+			return
+		}
+	}
+}
+
+// runHealthChecks is the task that asks an expected instance whether it takes
+// requests, so that its next heartbeat need not be awaited.
+func (n *Node) runHealthChecks(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if !n.checkDue.Wait(ctx, listInterval) {
+			continue
+		}
+		checks := 0
+		newBackoff().Retry(ctx, func() bool {
+			state, table := n.target.state(), n.table.Load()
+			if !state.Expected || checks == maxHealthChecks {
+				return true
+			}
+			if table == nil {
+				return false
+			}
+			checks++
+			path := table.Service(state.Service).HealthPath
+			return path == "" || n.checkHealth(ctx, path)
+		})
+	}
+	return nil
+}
+
+// checkHealth sends one health check and reports whether an instance has passed it.
+func (n *Node) checkHealth(ctx context.Context, path string) (passed bool) {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	req, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(answer)
+	req.Header.SetMethod(http.MethodGet)
+	req.SetRequestURI(path)
+	req.Header.SetHost(n.cfg.Upstream)
+	expected := n.target.state().ID
+	out := n.upstream.Do(ctx, upstream.Request{HTTP: req, MaxAnswer: maxHealthBody, Classify: platform.Classify}, answer)
+	id := platform.HealthyInstance(answer)
+	n.log.Info("health check", "expected", expected, "instance", id, "status", answer.StatusCode(), "outcome", out.Verdict.String(), "detail", out.Detail)
+	if out.Verdict != contract.Ran || id == "" {
+		return false
+	}
+	n.target.update("health", func(tr *instance.Tracker) instance.Change {
+		if id != expected {
+			return tr.Misdirected(expected, id)
+		}
+		return tr.Healthy(id)
+	})
+	return true
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -88,6 +88,7 @@
 	upstream     *upstream.Client
 	objects      *platform.ObjectClient
 	target       *target
+	stored       *storedInstance
 	dedup        *dedup
 	correlation  *correlation.Tracker
 	callers      *callers.Tracker
@@ -112,6 +113,8 @@
 
 	// recordChanged is sent when the local record may have changed.
 	recordChanged wait.Signal
+	// checkDue is sent when the upstream may be one that is expected.
+	checkDue wait.Signal
 	// reportsDue is sent when other nodes may lack what is known of requests that
 	// crash upstreams.
 	reportsDue wait.Signal
@@ -164,7 +167,9 @@
 		poison:         poison.New(),
 		metrics:        newMetrics(),
 		freshness:      freshness.New(freshnessLimit(cfg.ApplyWithin), now),
+		stored:         newStoredInstance(),
 		recordChanged:  wait.NewSignal(),
+		checkDue:       wait.NewSignal(),
 		reportsDue:     wait.NewSignal(),
 		membersChanged: wait.NewSignal(),
 		readDue:        wait.NewSignal(),
@@ -225,6 +230,7 @@
 	group.Go(func() error { return n.runSchedulerLog(running) })
 	group.Go(func() error { return n.runCrashReports(running) })
 	group.Go(func() error { return n.runRecord(running) })
+	group.Go(func() error { return n.runHealthChecks(running) })
 	group.Go(func() error { return n.runMembers(running) })
 	group.Go(func() error { return n.runUnserved(running) })
 	group.Go(func() error { return n.upstream.RunIdle(running) })
--- a/internal/sidecar/notice.go
+++ b/internal/sidecar/notice.go
@@ -19,7 +19,8 @@
 // answers: it paces requests by the limit, and closes the scheduler when the
 // upstream leaves. Other nodes receive it in replies and heartbeats. While the
 // node beside the upstream has not read an answer since its start, they send it
-// back, with each call and in reply to a heartbeat.
+// back, with each call and in reply to a heartbeat; that the upstream leaves for
+// good also after that.
 
 // observeNotice records what a complete answer of an instance, to a request that
 // was sent at sent, says about the instance.
@@ -46,9 +47,13 @@
 
 // remind tells the node at the other end of a session what this node has heard
 // of its upstream, if that node has not heard it itself since its start.
+// That an instance leaves for good is told even so.
 func (n *Node) remind(s *link.Session, f *linkpb.ControlFrame) {
 	own, known := reportOf(f.GetLoad().GetNotice()), n.fleet.Report(f.Vm)
-	if own.Instance == "" || own.Incarnation > 0 || own.Instance != known.Instance || !known.AddsTo(own.Notice) {
+	if own.Instance == "" || own.Instance != known.Instance || !known.AddsTo(own.Notice) {
+		return
+	}
+	if own.Incarnation > 0 && (own.Leaving || !known.Leaving) {
 		return
 	}
 	reminder := n.newFrame()
@@ -70,7 +75,7 @@
 	defer t.mu.Unlock()
 	state := t.tracker.State()
 	r := instance.Report{Notice: state.Notice, Instance: state.ID}
-	if state.Heard {
+	if state.Heard || state.Notice.Leaving {
 		r.Incarnation, r.Changes = t.n.incarnation.Load(), t.notices
 	}
 	return r
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -43,6 +43,30 @@
 	Service    string `json:"service"`
 	Instance   string `json:"instance"`
 	Slots      int    `json:"slots"`
+	// Leaving says that the instance drains or leaves for good, DrainSeq is the
+	// sequence number of the heartbeat that announced a drain; 0 if it leaves for
+	// good.
+	Leaving  bool   `json:"leaving,omitempty"`
+	DrainSeq uint64 `json:"drainSeq,omitempty"`
+}
+
+// setInstance sets what the next process needs to know of the upstream.
+func (r *record) setInstance(s instance.Stored) {
+	r.Instance, r.Service, r.Slots, r.Leaving, r.DrainSeq = s.ID, s.Service, s.Slots, s.Leaving, s.DrainSeq
+}
+
+// stored is the reverse of setInstance.
+func (r *record) stored() instance.Stored {
+	return instance.Stored{ID: r.Instance, Service: r.Service, Slots: r.Slots, Leaving: r.Leaving, DrainSeq: r.DrainSeq}
+}
+
+// decodeRecord decodes the record of a node.
+func decodeRecord(o platform.Object) (record, error) {
+	var r record
+	if err := json.Unmarshal(o.Spec, &r); err != nil {
+		return record{}, errors.Wrapf(err, "record %.80q", o.Name)
+	}
+	return r, nil
 }
 
 // recordTask writes the local record and reads those of the other nodes. found
@@ -64,7 +88,9 @@
 		switch {
 		case ctx.Err() != nil:
 		case changed:
-			_ = wait.For(ctx, writeDelay)
+			if !d.announcesLeaving() {
+				_ = wait.For(ctx, writeDelay)
+			}
 			d.write(ctx)
 			if d.n.listDue.Swap(false) {
 				d.syncAll(ctx)
@@ -94,21 +120,21 @@
 // desired returns the record as it should be stored. Until the first
 // heartbeat, the upstream of the stored record is assumed.
 func (d *recordTask) desired() record {
-	state := d.n.target.state()
-	r := record{
-		VM:         d.n.cfg.VM,
-		Datacentre: d.n.cfg.Datacentre,
-		Address:    d.n.cfg.Announce,
-		Service:    state.Service,
-		Instance:   state.ID,
-		Slots:      state.Slots,
-	}
-	if r.Instance == "" {
-		r.Service, r.Instance, r.Slots = d.written.Service, d.written.Instance, d.written.Slots
+	r := record{VM: d.n.cfg.VM, Datacentre: d.n.cfg.Datacentre, Address: d.n.cfg.Announce}
+	r.setInstance(d.written.stored())
+	if state := d.n.target.state(); state.ID != "" {
+		r.setInstance(state.Stored())
 	}
 	return r
 }
 
+// announcesLeaving reports whether the upstream leaves and the stored record does
+// not say so.
+func (d *recordTask) announcesLeaving() bool {
+	want := d.desired()
+	return want.Leaving && want != d.written
+}
+
 // write writes the local record if it has changed, and retries until it is
 // stored.
 func (d *recordTask) write(ctx context.Context) {
@@ -127,6 +153,7 @@
 		d.n.observeStoreCall(callWrite, began, err)
 		if err == nil {
 			d.revision, d.written = o.Revision, want
+			d.n.stored.set(want.stored())
 			d.n.log.Info("record written", "revision", o.Revision, "instance", want.Instance)
 			return true
 		}
@@ -158,10 +185,11 @@
 // setStored adopts the stored content and revision of the local record.
 func (d *recordTask) setStored(o platform.Object) {
 	d.revision, d.found = o.Revision, true
-	if err := json.Unmarshal(o.Spec, &d.written); err != nil {
+	var err error
+	if d.written, err = decodeRecord(o); err != nil {
 		d.n.log.Warn("own record unreadable", "revision", o.Revision, "err", err)
-		d.written = record{}
 	}
+	d.n.stored.set(d.written.stored())
 }
 
 // listObjects returns all records. With stale set, they may be seconds old.
@@ -241,13 +269,11 @@
 	d.n.observeStoreCall(callWrite, began, err)
 }
 
-// expectInstance makes the instance of the local record the current one until
-// the first heartbeat.
+// expectInstance restores what the local record says of the upstream.
 func (d *recordTask) expectInstance() {
-	w := d.written
-	d.n.target.update("record", func(tr *instance.Tracker) instance.Change {
-		return tr.Restore(w.Instance, w.Service, w.Slots)
-	})
+	stored := d.written.stored()
+	d.n.target.update("record", func(tr *instance.Tracker) instance.Change { return tr.Restore(stored) })
+	d.n.checkDue.Send()
 }
 
 // merge merges the records of the other nodes. Records that can't be decoded
@@ -258,8 +284,8 @@
 		if o.Name == d.n.cfg.VM {
 			continue
 		}
-		var r record
-		if err := json.Unmarshal(o.Spec, &r); err != nil || r.VM != o.Name || r.Address == "" {
+		r, err := decodeRecord(o)
+		if err != nil || r.VM != o.Name || r.Address == "" {
 			d.n.log.Warn("record unreadable", "name", o.Name, "revision", o.Revision, "err", err)
 			continue
 		}
--- a/internal/vm/instance/instance.go
+++ b/internal/vm/instance/instance.go
@@ -10,7 +10,10 @@
 // kept until another instance starts.
 package instance
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Heartbeat is one heartbeat of an upstream.
 type Heartbeat struct {
@@ -36,6 +39,9 @@
 	Slots       int
 	// Ready says that it takes requests.
 	Ready bool
+	// Expected says that it is known from an earlier process alone: it has said
+	// nothing to this one.
+	Expected bool
 	// WarmUntil is when it is expected to run at full speed.
 	WarmUntil time.Time
 	// Notice is what it says of itself in its answers, LimitAt when its limit
@@ -48,8 +54,30 @@
 	Lost bool
 	// seq is that of the newest heartbeat.
 	seq uint64
-	// leaving says that it drains or has deregistered.
-	leaving bool
+	// leaving says that it drains or leaves for good, drainSeq is that of the
+	// heartbeat that announced a drain; 0 for none.
+	leaving  bool
+	drainSeq uint64
+}
+
+// Stored is what a process leaves to the next one of the same VM.
+type Stored struct {
+	ID, Service string
+	Slots       int
+	// Leaving says that the instance drains or leaves for good. DrainSeq is the
+	// sequence number of the heartbeat that announced a drain; 0 if it leaves for
+	// good.
+	Leaving  bool
+	DrainSeq uint64
+}
+
+// Stored returns what the next process needs to know of the instance.
+func (s State) Stored() Stored {
+	stored := Stored{ID: s.ID, Service: s.Service, Slots: s.Slots, Leaving: s.leaving}
+	if !s.Notice.Leaving {
+		stored.DrainSeq = s.drainSeq
+	}
+	return stored
 }
 
 // Change says what a message did to the State.
@@ -61,7 +89,8 @@
 	Ignored Change = iota
 	// Same: the message changed nothing.
 	Same
-	// Started: another instance is the current one.
+	// Started: another instance is the current one, or the expected one has said
+	// something itself.
 	Started
 	// Returned: the current instance takes requests again, or it changed its
 	// slots or its service.
@@ -83,11 +112,17 @@
 // maxEnded bounds the ended instances that are remembered.
 const maxEnded = 64
 
+// endedInstance is an instance that was replaced or has deregistered.
+type endedInstance struct {
+	id           string
+	deregistered bool
+}
+
 // Tracker keeps the State. It is not safe for concurrent use.
 type Tracker struct {
 	address string
 	state   State
-	ended   []string // oldest first
+	ended   []endedInstance // oldest first
 }
 
 // NewTracker returns a tracker of the upstream at an ip:port.
@@ -96,15 +131,50 @@
 // State returns what is known of the current instance.
 func (t *Tracker) State() State { return t.state }
 
-// Restore sets what was known of the upstream before this process started. It
-// is valid until the first heartbeat and ignored after it. If the instance has
-// been replaced meanwhile, the upstream itself refuses the requests that are
-// meant for another instance.
-func (t *Tracker) Restore(id, service string, slots int) Change {
-	if t.state.ID != "" || id == "" || t.hasEnded(id) {
+// Restore sets what an earlier process knew of the upstream. The instance is
+// expected, and gets no requests until it has said something itself: since the
+// record was written it may have left or been replaced. That it leaves is valid
+// at once, and also if the instance has been heard meanwhile, unless by a later
+// heartbeat.
+func (t *Tracker) Restore(s Stored) Change {
+	switch {
+	case s.ID == "" || t.state.ID != "" && t.state.ID != s.ID:
 		return Ignored
+	case t.state.ID == s.ID:
+		return t.restoreLeaving(s)
+	case t.hasEnded(s.ID) && !t.hasDeregistered(s.ID):
+		return Ignored
+	}
+	t.state = State{ID: s.ID, Service: s.Service, Slots: s.Slots, Expected: true}
+	if t.hasDeregistered(s.ID) {
+		t.state.leave()
 	}
-	t.state = State{ID: id, Service: service, Slots: slots, Ready: true}
+	t.restoreLeaving(s)
+	return Started
+}
+
+// restoreLeaving applies that the current instance has told an earlier process
+// that it leaves.
+func (t *Tracker) restoreLeaving(s Stored) Change {
+	if !s.Leaving || t.state.leaving || s.DrainSeq > 0 && s.DrainSeq < t.state.seq {
+		return Same
+	}
+	if s.DrainSeq == 0 {
+		t.state.leave()
+		return Leaving
+	}
+	t.state.seq, t.state.drainSeq = s.DrainSeq, s.DrainSeq
+	t.state.leaving, t.state.Ready = true, false
+	return Leaving
+}
+
+// Healthy records that the upstream has passed a health check as the instance
+// id: one that is expected takes requests then.
+func (t *Tracker) Healthy(id string) Change {
+	if id != t.state.ID || !t.state.Expected || t.state.leaving {
+		return Same
+	}
+	t.state.Expected, t.state.Ready = false, true
 	return Started
 }
 
@@ -114,7 +184,7 @@
 		return Ignored
 	}
 	if h.ID != t.state.ID {
-		t.end(t.state.ID)
+		t.end(t.state.ID, false)
 		t.state = State{ID: h.ID}
 		t.apply(now, h)
 		return Started
@@ -125,6 +195,8 @@
 	old := t.state
 	t.apply(now, h)
 	switch {
+	case old.Expected:
+		return Started
 	case t.state.leaving && !old.leaving:
 		return Leaving
 	case t.state.Ready && !old.Ready:
@@ -140,6 +212,12 @@
 	t.state.seq = h.Seq
 	t.state.Service = h.Service
 	t.state.Slots = h.Slots
+	t.state.Expected = false
+	if !h.Draining {
+		t.state.drainSeq = 0
+	} else if t.state.drainSeq == 0 {
+		t.state.drainSeq = h.Seq
+	}
 	t.state.leaving = h.Draining || t.state.Notice.Leaving
 	t.state.Ready = !t.state.leaving
 	t.state.Lost = false
@@ -151,16 +229,11 @@
 	if t.hasEnded(id) {
 		return Ignored
 	}
+	t.end(id, true)
 	if id != t.state.ID {
-		t.end(id)
 		return Ignored
 	}
-	t.end(id)
-	wasLeaving := t.state.leaving
-	t.state.Ready, t.state.leaving = false, true
-	if wasLeaving {
-		return Same
-	}
+	t.state.leave()
 	return Leaving
 }
 
@@ -183,38 +256,32 @@
 	if expected != t.state.ID || actual == expected {
 		return Same
 	}
-	t.end(expected)
+	t.end(expected, false)
 	t.state = State{}
 	return Lost
 }
 
 // forgetEnded removes an instance from the ended ones: it has just answered.
 func (t *Tracker) forgetEnded(id string) {
-	for i, e := range t.ended {
-		if e == id {
-			t.ended = append(t.ended[:i], t.ended[i+1:]...)
-			return
-		}
-	}
+	t.ended = slices.DeleteFunc(t.ended, func(e endedInstance) bool { return e.id == id })
 }
 
 func (t *Tracker) hasEnded(id string) bool {
-	for _, e := range t.ended {
-		if e == id {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(t.ended, func(e endedInstance) bool { return e.id == id })
+}
+
+func (t *Tracker) hasDeregistered(id string) bool {
+	return slices.Contains(t.ended, endedInstance{id, true})
 }
 
 // end adds an instance to the ended ones, and drops the oldest if there are too
 // many.
-func (t *Tracker) end(id string) {
+func (t *Tracker) end(id string, deregistered bool) {
 	if id == "" || t.hasEnded(id) {
 		return
 	}
 	if len(t.ended) == maxEnded {
 		t.ended = t.ended[1:]
 	}
-	t.ended = append(t.ended, id)
+	t.ended = append(t.ended, endedInstance{id, deregistered})
 }
--- a/internal/vm/instance/notice.go
+++ b/internal/vm/instance/notice.go
@@ -6,8 +6,8 @@
 // send more than that, so higher ones are reduced to it.
 const MaxLimit = 1e6
 
-// Notice is what an instance says of itself in its answers. The zero Notice
-// says nothing.
+// Notice is what an instance says of itself in its answers, or by deregistering.
+// The zero Notice says nothing.
 type Notice struct {
 	// Limited says that the instance names a limit: it takes Limit requests a
 	// second from all callers together, from 0 to MaxLimit.
@@ -34,7 +34,7 @@
 	Instance string
 	// Incarnation is that of the node beside the instance, and Changes counts
 	// what it has heard since its start. Incarnation is 0 in that node's own
-	// report if it has not read an answer of the instance since its start.
+	// report if the instance has told it nothing since its start.
 	Incarnation, Changes uint64
 }
 
@@ -83,24 +83,25 @@
 }
 
 // Recall applies what another node has heard of the current instance, at now.
-// It counts until this process has read an answer of the instance: other nodes
-// know nothing newer than that, since all requests pass this node.
+// Leaving is for good. A limit counts until this process has read an answer of
+// the instance: other nodes know nothing newer than that, since all requests pass
+// this node.
 func (t *Tracker) Recall(now time.Time, r Report) Change {
-	if r.Instance == "" || r.Instance != t.state.ID || t.state.Heard {
+	if r.Instance == "" || r.Instance != t.state.ID {
 		return Same
 	}
 	if r.Leaving && !t.state.Notice.Leaving {
 		t.state.leave()
 		return Leaving
 	}
-	if r.stricter(t.state.Notice) {
+	if !t.state.Heard && r.stricter(t.state.Notice) {
 		t.state.Notice.Limited, t.state.Notice.Limit, t.state.LimitAt = true, r.Limit, now
 		return Limited
 	}
 	return Same
 }
 
-// leave records that the instance has said that it leaves.
+// leave records that the instance leaves for good.
 func (s *State) leave() {
 	s.Notice.Leaving, s.leaving, s.Ready = true, true, false
 }
