An announced drain is obeyed whatever its sequence number (DRAIN)

Cause: the tracker drops every heartbeat that is not newer, also one that brings a drain, and the heartbeats of an instance whose connections were refused.

Fix: a late heartbeat can't end a drain; it can announce one, and it shows that a lost instance is there. Obeying a drain that was taken back costs one heartbeat interval; ignoring one that holds breaks the promise.

--- a/internal/vm/instance/instance.go
+++ b/internal/vm/instance/instance.go
@@ -65,8 +65,8 @@
 	ID, Service string
 	Slots       int
 	// Leaving says that the instance drains or leaves for good. DrainSeq is the
-	// sequence number of the heartbeat that announced a drain; 0 if it leaves for
-	// good.
+	// sequence number of the heartbeat that announced a drain, or a larger one that
+	// came before it; 0 if it leaves for good.
 	Leaving  bool
 	DrainSeq uint64
 }
@@ -178,7 +178,9 @@
 	return Started
 }
 
-// HandleHeartbeat applies a heartbeat.
+// HandleHeartbeat applies a heartbeat. A late one can't end a drain, but it can
+// announce one, which is obeyed since it is acknowledged, and it shows that a lost
+// instance is there.
 func (t *Tracker) HandleHeartbeat(now time.Time, h Heartbeat) Change {
 	if h.Address != t.address || t.hasEnded(h.ID) {
 		return Ignored
@@ -189,7 +191,8 @@
 		t.apply(now, h)
 		return Started
 	}
-	if h.Seq <= t.state.seq {
+	late := h.Seq <= t.state.seq
+	if late && (t.state.leaving || t.state.Ready && !h.Draining) {
 		return Ignored
 	}
 	old := t.state
@@ -209,14 +212,14 @@
 }
 
 func (t *Tracker) apply(now time.Time, h Heartbeat) {
-	t.state.seq = h.Seq
+	t.state.seq = max(t.state.seq, h.Seq)
 	t.state.Service = h.Service
 	t.state.Slots = h.Slots
 	t.state.Expected = false
 	if !h.Draining {
 		t.state.drainSeq = 0
 	} else if t.state.drainSeq == 0 {
-		t.state.drainSeq = h.Seq
+		t.state.drainSeq = t.state.seq
 	}
 	t.state.leaving = h.Draining || t.state.Notice.Leaving
 	t.state.Ready = !t.state.leaving
--- a/internal/vm/instance/instance_test.go
+++ b/internal/vm/instance/instance_test.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -185,6 +186,33 @@
 	}
 }
 
+// TestLostInstanceReturnsBehindALargerSequence guards against an instance that is silenced
+// by one heartbeat with a large number, or by a start under the same id.
+func TestLostInstanceReturnsBehindALargerSequence(t *testing.T) {
+	run(t, []step{
+		{"largest number", handle(heartbeat("a", math.MaxUint64)), Started, "a", true},
+		{"connection refused", func(tr *Tracker) Change { return tr.ConnectionRefused("a") }, Lost, "a", false},
+		{"heartbeat", handle(heartbeat("a", 2)), Returned, "a", true},
+	})
+}
+
+// TestDrainBehindALargerSequenceIsObeyed guards against a drain that is acknowledged and
+// ignored, after a heartbeat with a large number or a start under the same id.
+func TestDrainBehindALargerSequenceIsObeyed(t *testing.T) {
+	drain := heartbeat("a", 3)
+	drain.Draining = true
+	again := drain
+	again.Seq = 4
+	run(t, []step{
+		{"largest number", handle(heartbeat("a", math.MaxUint64)), Started, "a", true},
+		{"late heartbeat", handle(heartbeat("a", 2)), Ignored, "a", true},
+		{"drain", handle(drain), Leaving, "a", false},
+		{"drains still", handle(again), Ignored, "a", false},
+		{"late heartbeat", handle(heartbeat("a", 5)), Ignored, "a", false},
+		{"next instance", handle(heartbeat("b", 1)), Started, "b", true},
+	})
+}
+
 func TestStoredSaysHowTheInstanceLeaves(t *testing.T) {
 	draining := heartbeat("a", 3)
 	draining.Draining = true
