--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -198,7 +198,9 @@
 	}
 	table, faults, err := platform.DecodeConfig(raw)
 	if err != nil {
-		n.log.Error("configuration refused", "by", by, "err", err)
+		if last := n.refused.Swap(&raw); last == nil || !bytes.Equal(*last, raw) {
+			n.log.Error("configuration refused", "by", by, "err", err)
+		}
 		return false, err
 	}
 	if !n.activate(&configuration{Table: table, raw: raw}) {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -76,7 +76,8 @@
 	started     time.Time
 
 	table     atomic.Pointer[configuration]
-	freshness *freshness.Tracker // of the active configuration
+	refused   atomic.Pointer[[]byte] // the last configuration that was refused
+	freshness *freshness.Tracker     // of the active configuration
 	// applyWithin is the time in which a change must be active, in nanoseconds.
 	applyWithin atomic.Int64
 	// heldUpLogged is when the newest report that was held up was logged, in
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -60,15 +61,45 @@
 	return instance.Stored{ID: r.Instance, Service: r.Service, Slots: r.Slots, Leaving: r.Leaving, DrainSeq: r.DrainSeq}
 }
 
-// decodeRecord decodes the record of a node.
+// decodeRecord decodes the record of a node. Another writer may have left anything
+// there, so what is out of range is an error.
 func decodeRecord(o platform.Object) (record, error) {
+	if o.Err != nil {
+		return record{}, o.Err
+	}
 	var r record
 	if err := json.Unmarshal(o.Spec, &r); err != nil {
 		return record{}, errors.Wrapf(err, "record %.80q", o.Name)
 	}
+	if err := r.validate(o.Name); err != nil {
+		return record{}, errors.Wrapf(err, "record %.80q", o.Name)
+	}
 	return r, nil
 }
 
+// validate checks that a record read under a name can be used.
+func (r *record) validate(name string) error {
+	for _, text := range []string{r.VM, r.Datacentre, r.Service, r.Instance} {
+		if len(text) > maxRecordText {
+			return errors.Newf("text of %d bytes: want at most %d", len(text), maxRecordText)
+		}
+	}
+	if r.VM != name || r.VM == "" {
+		return errors.Newf("vm %.80q: want the name of the record", r.VM)
+	}
+	if _, err := netip.ParseAddrPort(r.Address); err != nil {
+		return errors.Newf("address %.80q: want ip:port", r.Address)
+	}
+	if r.Slots < 0 || r.Slots > instance.MaxSlots {
+		return errors.Newf("slots %d: want 0 to %d", r.Slots, instance.MaxSlots)
+	}
+	return nil
+}
+
+// maxRecordText bounds each text of a record, in bytes: a message of a link carries
+// those of all nodes.
+const maxRecordText = 256
+
 // recordTask writes the local record and reads those of the other nodes. found
 // is set once the local record was read from the store; written and revision
 // are its last stored content and revision.
@@ -77,6 +108,9 @@
 	revision uint64
 	written  record
 	found    bool
+	// unreadable holds the errors of the records in the last list that can't be
+	// decoded.
+	unreadable map[string]bool
 }
 
 // runRecord is the task that keeps the records up to date.
@@ -276,17 +310,19 @@
 	d.n.checkDue.Send()
 }
 
-// merge merges the records of the other nodes. Records that can't be decoded
-// are logged and skipped.
+// merge merges the records of the other nodes. Records that can't be decoded are
+// skipped.
 func (d *recordTask) merge(objects []platform.Object) {
 	members := make([]*linkpb.Member, 0, len(objects))
+	unreadable := make(map[string]bool)
 	for _, o := range objects {
 		if o.Name == d.n.cfg.VM {
 			continue
 		}
 		r, err := decodeRecord(o)
-		if err != nil || r.VM != o.Name || r.Address == "" {
-			d.n.log.Warn("record unreadable", "name", o.Name, "revision", o.Revision, "err", err)
+		if err != nil {
+			d.logUnreadable(o, err)
+			unreadable[err.Error()] = true
 			continue
 		}
 		members = append(members, &linkpb.Member{
@@ -294,5 +330,16 @@
 			Service: r.Service, Instance: r.Instance, Slots: uint32(r.Slots),
 		})
 	}
+	d.unreadable = unreadable
 	d.n.peers.merge(members...)
 }
+
+// logUnreadable logs a record that can't be decoded, unless the last list had it too.
+func (d *recordTask) logUnreadable(o platform.Object, err error) {
+	if !d.unreadable[err.Error()] {
+		d.n.log.Warn("record unreadable", "name", logged(o.Name), "revision", o.Revision, "err", err)
+	}
+}
+
+// logged shortens a text of another writer for the log.
+func logged(text string) string { return text[:min(len(text), maxRecordText)] }
--- a/internal/vm/instance/instance.go
+++ b/internal/vm/instance/instance.go
@@ -15,6 +15,9 @@
 	"time"
 )
 
+// MaxSlots bounds the slots of an instance.
+const MaxSlots = 1_000_000
+
 // Heartbeat is one heartbeat of an upstream.
 type Heartbeat struct {
 	// ID names the instance.
@@ -22,7 +25,7 @@
 	Service string
 	// Address is the ip:port at which it serves.
 	Address string
-	// Slots is the number of requests that it runs at a time.
+	// Slots is the number of requests that it runs at a time, 0 to MaxSlots.
 	Slots int
 	// Draining announces that it stops taking requests.
 	Draining bool
