--- a/cmd/heathershed-sidecar/cost_test.go
+++ b/cmd/heathershed-sidecar/cost_test.go
@@ -156,6 +156,7 @@
 	}
 	s := &fasthttp.Server{Handler: func(rc *fasthttp.RequestCtx) {
 		rc.Response.Header.SetBytesV(platformtest.HeaderAttempt, rc.Request.Header.Peek(platformtest.HeaderAttempt))
+		rc.Response.Header.Set(platformtest.HeaderSeal, "seal")
 		rc.SetBodyString("whole answer")
 	}}
 	go func() { _ = s.Serve(l) }()
--- a/internal/sidecar/leaving.go
+++ b/internal/sidecar/leaving.go
@@ -110,7 +110,10 @@
 	req.SetRequestURI(path)
 	req.Header.SetHost(n.cfg.Upstream)
 	expected := n.target.state().ID
-	out := n.upstream.Do(ctx, upstream.Request{HTTP: req, MaxAnswer: maxHealthBody, Classify: platform.Classify}, answer)
+	out := n.upstream.Do(ctx, upstream.Request{
+		HTTP: req, MaxAnswer: maxHealthBody,
+		Matches: func(*fasthttp.Response) upstream.Match { return upstream.MatchUnnamed },
+	}, answer)
 	id := platform.HealthyInstance(answer)
 	n.log.Info("health check", "expected", expected, "instance", id, "status", answer.StatusCode(), "outcome", out.Verdict.String(), "detail", out.Detail)
 	if out.Verdict != contract.Ran || id == "" {
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -130,7 +130,7 @@
 		Order:           !req.Idempotent,
 		MaxAnswer:       maxAnswer,
 		Classify:        platform.Classify,
-		Matches:         func(a *fasthttp.Response) bool { return platform.Matches(a, req.AttemptId) },
+		Matches:         func(a *fasthttp.Response) upstream.Match { return platform.Matches(a, req.AttemptId) },
 		AllowUntilClose: true,
 	}, answer)
 	n.observeOutcome(state, out, answer)
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -106,6 +106,9 @@
 	if outcome == OutcomeComplete && !bytes.Equal(body, Body(r.attempt, r.size)) {
 		l.AddViolation(Partial, r.attempt, fmt.Sprintf("%d bytes of %d, beginning %.40q", len(body), r.size, body))
 	}
+	if got := resp.Header.Get(platformtest.HeaderSeal); outcome == OutcomeComplete && got != seal(r.attempt) {
+		l.AddViolation(Partial, r.attempt, fmt.Sprintf("seal %.40q, want %q", got, seal(r.attempt)))
+	}
 	return resp.StatusCode, retryAfterOf(resp)
 }
 
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -185,6 +185,7 @@
 		return
 	}
 	rw.Header().Set(platformtest.HeaderAttempt, attempt)
+	rw.Header().Set(platformtest.HeaderSeal, seal(attempt))
 	u.mu.Lock()
 	u.notice.write(rw.Header())
 	u.mu.Unlock()
@@ -252,6 +253,9 @@
 	return append(line, bytes.Repeat([]byte("."), max(size-len(line), 0))...)
 }
 
+// seal is the signature of the answer to an attempt.
+func seal(attempt string) string { return "seal-" + attempt }
+
 func writeAnswer(rw http.ResponseWriter, h Health, body []byte) {
 	rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	switch h {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -50,7 +50,7 @@
 	// Matches reports whether an answer belongs to this request, because an
 	// upstream may send a late second answer to an earlier one. nil accepts every
 	// answer.
-	Matches func(*fasthttp.Response) bool
+	Matches func(*fasthttp.Response) Match
 	// AllowUntilClose accepts answers without a length that end with a clean
 	// close of their connection.
 	AllowUntilClose bool
@@ -59,6 +59,29 @@
 	OnSent func()
 }
 
+// Match says whether an answer belongs to a request.
+type Match uint8
+
+// The matches.
+const (
+	// MatchNone: the answer belongs to another request, or to none.
+	MatchNone Match = iota
+	// MatchUnnamed: the answer names no request. It belongs to the one that is
+	// expected next, unless it is an earlier one that was sent again: so its
+	// connection carries no further request.
+	MatchUnnamed
+	// MatchNamed: the answer names the request.
+	MatchNamed
+)
+
+// match returns whether an answer belongs to the request.
+func (r *Request) match(answer *fasthttp.Response) Match {
+	if r.Matches == nil {
+		return MatchNamed
+	}
+	return r.Matches(answer)
+}
+
 // Outcome describes how a request ended. Reason is ReasonNone if the upstream
 // gave a complete answer.
 type Outcome struct {
@@ -88,6 +111,9 @@
 	w       *bufio.Writer
 	usedAt  time.Time
 	written int
+	// inDoubt says that an answer has named no request, or another one. It might be
+	// sent again, and then be taken for that to the next request.
+	inDoubt bool
 	// readable is the number of bytes that may still be read for the current
 	// answer.
 	readable int
@@ -197,13 +223,14 @@
 		return readFailed(ctx, cn.written, answer, err), false
 	}
 	framed := answer.Header.ContentLength() != untilClose
-	reusable := notCancelled && step == stepDone && framed && !answer.ConnectionClose() && cn.r.Buffered() == 0
+	reusable := notCancelled && step == stepDone && framed && !cn.inDoubt && !answer.ConnectionClose() && cn.r.Buffered() == 0
 	cn.recordKeepAlive(answer)
 	cn.shrink()
+	out := classify(answer)
 	if req.Classify != nil {
-		return req.Classify(answer), reusable
+		out = req.Classify(answer)
 	}
-	return classify(answer), reusable
+	return out, reusable && out.Reason != contract.ReasonPartialAnswer
 }
 
 // The steps at which an exchange can end. After stepEarly the answer is complete
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -119,7 +119,12 @@
 			req := get(true)
 			req.MaxAnswer = maxBody
 			req.AllowUntilClose = true
-			req.Matches = func(a *fasthttp.Response) bool { return string(a.Header.Peek("X-Id")) != "other" }
+			req.Matches = func(a *fasthttp.Response) Match {
+				if string(a.Header.Peek("X-Id")) == "other" {
+					return MatchNone
+				}
+				return MatchNamed
+			}
 			var answer fasthttp.Response
 			out := client.Do(ctx, req, &answer)
 			if ctx.Err() != nil || out.Verdict != contract.MayHaveRun {
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -67,13 +67,16 @@
 	}
 }
 
-// readMatching reads answers until one belongs to the request.
+// readMatching reads answers until one belongs to the request. Once one was skipped,
+// only an answer that names the request does.
 func (c *Client) readMatching(ctx context.Context, cn *conn, req Request, answer *fasthttp.Response) error {
-	for range maxStale + 1 {
+	for skipped := range maxStale + 1 {
 		if err := c.read(ctx, cn, req, answer); err != nil {
 			return err
 		}
-		if req.Matches == nil || req.Matches(answer) {
+		match := req.match(answer)
+		cn.inDoubt = cn.inDoubt || match != MatchNamed
+		if match == MatchNamed || match == MatchUnnamed && skipped == 0 {
 			return nil
 		}
 		if answer.ConnectionClose() {
