--- a/internal/sidecar/leaving_test.go
+++ b/internal/sidecar/leaving_test.go
@@ -118,7 +118,7 @@
 				far.restart()
 				tc.waitFor("linked again", func() bool { return near.linkedTo(far) && far.linkedTo(near) })
 				far.heartbeatAs("far", "ready", far.seq)
-				time.Sleep(300 * time.Millisecond) // the other node tells what it knows
+				tc.waitFor("the leaving is known again", func() bool { return !far.node.target.state().Ready })
 				ran := far.up.ran.Load()
 				askBoth(t, 600*time.Millisecond, near, far)
 				if got := far.up.ran.Load() - ran; got > 0 {
