--- a/internal/sidecar/leaving.go
+++ b/internal/sidecar/leaving.go
@@ -112,6 +112,7 @@
 	expected := n.target.state().ID
 	out := n.upstream.Do(ctx, upstream.Request{
 		HTTP: req, MaxAnswer: maxHealthBody,
+		Order:   true, // its answer names no request, so that of another check must not precede it
 		Matches: func(*fasthttp.Response) upstream.Match { return upstream.MatchUnnamed },
 	}, answer)
 	id := platform.HealthyInstance(answer)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -67,8 +67,8 @@
 	// MatchNone: the answer belongs to another request, or to none.
 	MatchNone Match = iota
 	// MatchUnnamed: the answer names no request. It belongs to the one that is
-	// expected next, unless it is an earlier one that was sent again: so its
-	// connection carries no further request.
+	// expected next, unless the answer before it named none either and was sent
+	// again.
 	MatchUnnamed
 	// MatchNamed: the answer names the request.
 	MatchNamed
@@ -111,9 +111,11 @@
 	w       *bufio.Writer
 	usedAt  time.Time
 	written int
-	// inDoubt says that an answer has named no request, or another one. It might be
-	// sent again, and then be taken for that to the next request.
-	inDoubt bool
+	// unnamed says that the last answer named no request. The upstream might send it
+	// again where the next one is expected.
+	unnamed bool
+	// foreign says that an answer belonged to another request.
+	foreign bool
 	// readable is the number of bytes that may still be read for the current
 	// answer.
 	readable int
@@ -208,6 +210,7 @@
 // connection can be reused.
 func (c *Client) exchange(ctx context.Context, cn *conn, req Request, answer *fasthttp.Response) (Outcome, bool) {
 	cn.written = 0
+	afterUnnamed := cn.unnamed
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = cn.SetDeadline(deadline)
 	} else {
@@ -223,13 +226,16 @@
 		return readFailed(ctx, cn.written, answer, err), false
 	}
 	framed := answer.Header.ContentLength() != untilClose
-	reusable := notCancelled && step == stepDone && framed && !cn.inDoubt && !answer.ConnectionClose() && cn.r.Buffered() == 0
+	reusable := notCancelled && step == stepDone && framed && !cn.foreign && !answer.ConnectionClose() && cn.r.Buffered() == 0
 	cn.recordKeepAlive(answer)
 	cn.shrink()
 	out := classify(answer)
 	if req.Classify != nil {
 		out = req.Classify(answer)
 	}
+	if afterUnnamed && cn.unnamed {
+		out = Outcome{Verdict: contract.MayHaveRun, Reason: contract.ReasonUpstreamRefused, Detail: "may be an earlier answer"}
+	}
 	return out, reusable && out.Reason != contract.ReasonPartialAnswer
 }
 
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -154,7 +154,7 @@
 // waitClosed blocks until the upstream's close of the idle connection has arrived.
 func waitClosed(t *testing.T, client *Client) {
 	t.Helper()
-	cn := client.pop()
+	cn := client.pop(false)
 	if cn == nil {
 		t.Fatal("no idle connection in the pool")
 	}
@@ -177,7 +177,7 @@
 	if out.Reason != contract.ReasonCancelled {
 		t.Fatalf("outcome: got %+v, want cancelled", out)
 	}
-	if cn := client.pop(); cn != nil {
+	if cn := client.pop(false); cn != nil {
 		t.Fatal("connection of a cancelled request is in the pool")
 	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -15,7 +15,7 @@
 // take returns an idle connection that is still open, or a new one.
 func (c *Client) take(ctx context.Context, order bool) (*conn, error) {
 	for {
-		cn := c.pop()
+		cn := c.pop(order)
 		if cn == nil {
 			return c.open(ctx)
 		}
@@ -37,17 +37,18 @@
 	return cn, nil
 }
 
-func (c *Client) pop() *conn {
+// pop removes the idle connection that was used last, or nil if there is none. An order
+// gets none whose last answer named no request: it could not be told from the order's.
+func (c *Client) pop(order bool) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	last := len(c.idle) - 1
-	if last < 0 {
-		return nil
+	for i, cn := range slices.Backward(c.idle) {
+		if !order || !cn.unnamed {
+			c.idle = slices.Delete(c.idle, i, i+1)
+			return cn
+		}
 	}
-	cn := c.idle[last]
-	c.idle[last] = nil
-	c.idle = c.idle[:last]
-	return cn
+	return nil
 }
 
 func (c *Client) put(cn *conn) {
@@ -100,7 +101,8 @@
 // CloseIdle closes the idle connections. It is used at shutdown and when the
 // upstream was restarted.
 func (c *Client) CloseIdle() {
-	for cn := c.pop(); cn != nil; cn = c.pop() {
+	const order = false // those that orders don't use too
+	for cn := c.pop(order); cn != nil; cn = c.pop(order) {
 		_ = cn.Close()
 	}
 }
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -46,7 +46,7 @@
 	if _, err := far.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("connection over the idle time: got %v, want closed", err)
 	}
-	if cn := client.pop(); cn == nil || cn.Conn != kept || client.pop() != nil {
+	if cn := client.pop(false); cn == nil || cn.Conn != kept || client.pop(false) != nil {
 		t.Error("want only the connection that was used lately in the pool")
 	}
 }
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -75,7 +75,8 @@
 			return err
 		}
 		match := req.match(answer)
-		cn.inDoubt = cn.inDoubt || match != MatchNamed
+		cn.unnamed = match == MatchUnnamed
+		cn.foreign = cn.foreign || match == MatchNone || match == MatchUnnamed && skipped > 0
 		if match == MatchNamed || match == MatchUnnamed && skipped == 0 {
 			return nil
 		}
