An odd record's line of log is short

What an operator saw: the decoder's error quotes the number that it can't decode, so a record with a number of 500,000 digits gave a line of that length, and a key of that length was kept until the next list. Texts of other writers are bounded by one function now. TestOddRecordIsLoggedShort fails on the code before.

--- a/internal/sidecar/oddrecords_test.go
+++ b/internal/sidecar/oddrecords_test.go
@@ -86,6 +86,19 @@
 	}
 }
 
+// TestOddRecordIsLoggedShort guards against a line of log as long as a number of another
+// writer, which the decoder's error quotes.
+func TestOddRecordIsLoggedShort(t *testing.T) {
+	const most = 2 << 10 // bytes
+	log := &logBuffer{}
+	n := New(&settings.Sidecar{VM: "own", Upstream: "127.0.0.1:1", Platform: "127.0.0.1:1"}, slog.New(slog.NewTextHandler(log, nil)))
+	number := strings.Repeat("9", 500_000)
+	(&recordTask{n: n}).merge([]platform.Object{{Name: number, Spec: []byte(`{"slots":` + number + `}`)}})
+	if got := len(log.String()); got == 0 || got > most {
+		t.Errorf("got %d bytes of log, want 1 to %d", got, most)
+	}
+}
+
 func TestConfigurationThatIsRefusedIsLoggedOnce(t *testing.T) {
 	log := &logBuffer{}
 	n := New(&settings.Sidecar{VM: "own", Upstream: "127.0.0.1:1", Platform: "127.0.0.1:1"}, slog.New(slog.NewTextHandler(log, nil)))
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -106,8 +106,7 @@
 	revision uint64
 	written  record
 	found    bool
-	// unreadable holds the errors of the records in the last list that can't be
-	// decoded.
+	// unreadable holds why records in the last list can't be decoded.
 	unreadable map[string]bool
 }
 
@@ -219,7 +218,7 @@
 	d.revision, d.found = o.Revision, true
 	var err error
 	if d.written, err = decodeRecord(o); err != nil {
-		d.n.log.Warn("own record unreadable", "revision", o.Revision, "err", err)
+		d.n.log.Warn("own record unreadable", "revision", o.Revision, "err", shorten(err.Error()))
 	}
 	d.n.stored.set(d.written.stored())
 }
@@ -319,8 +318,9 @@
 		}
 		r, err := decodeRecord(o)
 		if err != nil {
-			d.logUnreadable(o, err)
-			unreadable[err.Error()] = true
+			cause := shorten(err.Error())
+			d.logUnreadable(o, cause)
+			unreadable[cause] = true
 			continue
 		}
 		members = append(members, &linkpb.Member{
@@ -333,11 +333,14 @@
 }
 
 // logUnreadable logs a record that can't be decoded, unless the last list had it too.
-func (d *recordTask) logUnreadable(o platform.Object, err error) {
-	if !d.unreadable[err.Error()] {
-		d.n.log.Warn("record unreadable", "name", logged(o.Name), "revision", o.Revision, "err", err)
+func (d *recordTask) logUnreadable(o platform.Object, cause string) {
+	if !d.unreadable[cause] {
+		d.n.log.Warn("record unreadable", "name", shorten(o.Name), "revision", o.Revision, "err", cause)
 	}
 }
 
-// logged shortens a text of another writer for the log.
-func logged(text string) string { return text[:min(len(text), maxRecordText)] }
+// maxLoggedText bounds a text of another writer in the log, in bytes.
+const maxLoggedText = 300
+
+// shorten returns a text of another writer as it is logged.
+func shorten(text string) string { return text[:min(len(text), maxLoggedText)] }
