An instance that leaves is not asked whether it is healthy

After a restart of its node, an instance whose record says that it leaves got health checks, whose answer can't change anything and each of which takes a slot. The task's loop and its decision are two functions, the bound's comment says what it counts, and the line `upstream` tells whether the instance is known by its record alone. TestLeavingInstanceIsNotChecked fails on the code before (one check).

--- a/internal/sidecar/leaving.go
+++ b/internal/sidecar/leaving.go
@@ -26,7 +26,7 @@
 	// healthTimeout bounds a health check, maxHealthBody its answer in bytes.
 	healthTimeout = time.Second
 	maxHealthBody = 4 << 10
-	// maxHealthChecks bounds the health checks of one expected instance.
+	// maxHealthChecks bounds the health checks after one reading of the local record.
 	maxHealthChecks = 3
 )
 
@@ -79,26 +79,31 @@
 // requests, so that its next heartbeat need not be awaited.
 func (n *Node) runHealthChecks(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if !n.checkDue.Wait(ctx, listInterval) {
-			continue
+		if n.checkDue.Wait(ctx, listInterval) {
+			n.confirmExpected(ctx)
 		}
-		checks := 0
-		newBackoff().Retry(ctx, func() bool {
-			state, table := n.target.state(), n.table.Load()
-			if !state.Expected || checks == maxHealthChecks {
-				return true
-			}
-			if table == nil {
-				return false
-			}
-			checks++
-			path := table.Service(state.Service).HealthPath
-			return path == "" || n.checkHealth(ctx, path)
-		})
 	}
 	return nil
 }
 
+// confirmExpected sends health checks until the expected instance is confirmed or
+// replaced, at most maxHealthChecks. Later only a heartbeat confirms it.
+func (n *Node) confirmExpected(ctx context.Context) {
+	checks := 0
+	newBackoff().Retry(ctx, func() bool {
+		state, table := n.target.state(), n.table.Load()
+		if !state.Unconfirmed() || checks == maxHealthChecks {
+			return true
+		}
+		if table == nil {
+			return false
+		}
+		checks++
+		path := table.Service(state.Service).HealthPath
+		return path == "" || n.checkHealth(ctx, path)
+	})
+}
+
 // checkHealth sends one health check and reports whether an instance has passed it.
 func (n *Node) checkHealth(ctx context.Context, path string) (passed bool) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
--- a/internal/sidecar/leaving_test.go
+++ b/internal/sidecar/leaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -135,6 +136,25 @@
 	}
 }
 
+// TestLeavingInstanceIsNotChecked guards against health checks of an instance whose answer
+// can't change anything.
+func TestLeavingInstanceIsNotChecked(t *testing.T) {
+	t.Parallel()
+	const healthPath = "/health"
+	tc, near, far := startPair(t)
+	tc.writeConfig(platformtest.ConfigWithHealth(2, healthPath, "near", "far"))
+	tc.waitFor("the configuration is active", func() bool { return far.node.table.Load().Version == 2 })
+	var checks atomic.Int64
+	far.up.setHealth(healthPath, func(http.ResponseWriter, *http.Request) { checks.Add(1) })
+	far.deregister()
+	far.restart()
+	tc.waitFor("the record is read", func() bool { return far.ready() && far.node.target.state().Expected })
+	askBoth(t, 600*time.Millisecond, near, far)
+	if got := checks.Load(); got > 0 {
+		t.Errorf("%d health checks of an instance that leaves, want none", got)
+	}
+}
+
 // linkedTo reports whether the node has a session with another one.
 func (m *vm) linkedTo(other *vm) bool {
 	for _, s := range m.node.peers.openSessions() {
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -72,7 +72,7 @@
 		t.n.blameLostRuns(old)
 	}
 	t.n.log.Info("upstream", "by", source, "change", change.String(), "instance", state.ID,
-		"service", state.Service, "slots", state.Slots, "ready", state.Ready,
+		"service", state.Service, "slots", state.Slots, "ready", state.Ready, "expected", state.Expected,
 		"limit", limitText(state.Notice), "named_ms", age(old.LimitAt).Milliseconds(), "said_leaving", state.Notice.Leaving)
 	switch change {
 	case instance.Ignored:
--- a/internal/vm/instance/instance.go
+++ b/internal/vm/instance/instance.go
@@ -63,6 +63,10 @@
 	drainSeq uint64
 }
 
+// Unconfirmed reports whether the instance is expected and may take requests once it
+// has said something itself.
+func (s State) Unconfirmed() bool { return s.Expected && !s.leaving }
+
 // Stored is what a process leaves to the next one of the same VM.
 type Stored struct {
 	ID, Service string
@@ -174,7 +178,7 @@
 // Healthy records that the upstream has passed a health check as the instance
 // id: one that is expected takes requests then.
 func (t *Tracker) Healthy(id string) Change {
-	if id != t.state.ID || !t.state.Expected || t.state.leaving {
+	if id != t.state.ID || !t.state.Unconfirmed() {
 		return Same
 	}
 	t.state.Expected, t.state.Ready = false, true
