A refused configuration is told again after another one was active

What was remembered of the last refused configuration had no end: the same one, read again after a good one, was told nowhere. It ends when another becomes active. And the exchange with an upstream leaves the choice of the classifier to a function of its own.

--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -206,6 +206,7 @@
 	if !n.activate(&configuration{Table: table, raw: raw}) {
 		return false, nil
 	}
+	n.refused.Store(nil)
 	n.log.Info("configuration in force", "version", table.Version, "by", by, "routes", table.NumRoutes(),
 		"faults", len(faults), "before", n.freshnessText(time.Now()))
 	for _, fault := range faults {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -76,7 +76,7 @@
 	started     time.Time
 
 	table     atomic.Pointer[configuration]
-	refused   atomic.Pointer[[]byte] // the last configuration that was refused
+	refused   atomic.Pointer[[]byte] // the last one since then that was refused
 	freshness *freshness.Tracker     // of the active configuration
 	// applyWithin is the time in which a change must be active, in nanoseconds.
 	applyWithin atomic.Int64
--- a/internal/sidecar/oddrecords_test.go
+++ b/internal/sidecar/oddrecords_test.go
@@ -12,6 +12,7 @@
 
 	"heathershed/internal/settings"
 	"heathershed/platform"
+	"heathershed/platform/platformtest"
 )
 
 // oddSpecs are records as another writer may have left them, all valid JSON.
@@ -102,12 +103,17 @@
 func TestConfigurationThatIsRefusedIsLoggedOnce(t *testing.T) {
 	log := &logBuffer{}
 	n := New(&settings.Sidecar{VM: "own", Upstream: "127.0.0.1:1", Platform: "127.0.0.1:1"}, slog.New(slog.NewTextHandler(log, nil)))
-	for range 5 {
-		if _, err := n.adopt("read", []byte(`{"version":-1}`)); err == nil {
-			t.Fatal("got no error")
+	for _, want := range []int{1, 2} { // once more after another one was active
+		for range 5 {
+			if _, err := n.adopt("read", []byte(`{"version":-1}`)); err == nil {
+				t.Fatal("got no error")
+			}
+		}
+		if got := strings.Count(log.String(), "configuration refused"); got != want {
+			t.Errorf("got %d lines in 5 reads, want %d", got, want)
+		}
+		if changed, err := n.adopt("read", []byte(platformtest.Config(want, "s"))); !changed || err != nil {
+			t.Fatal(changed, err)
 		}
-	}
-	if got := strings.Count(log.String(), "configuration refused"); got != 1 {
-		t.Errorf("got %d lines in 5 reads, want 1", got)
 	}
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -229,16 +229,21 @@
 	reusable := notCancelled && step == stepDone && framed && !cn.foreign && !answer.ConnectionClose() && cn.r.Buffered() == 0
 	cn.recordKeepAlive(answer)
 	cn.shrink()
-	out := classify(answer)
-	if req.Classify != nil {
-		out = req.Classify(answer)
-	}
 	if afterUnnamed && cn.unnamed {
-		out = Outcome{Verdict: contract.MayHaveRun, Reason: contract.ReasonUpstreamRefused, Detail: "may be an earlier answer"}
+		return Outcome{Verdict: contract.MayHaveRun, Reason: contract.ReasonUpstreamRefused, Detail: "may be an earlier answer"}, reusable
 	}
+	out := req.classify(answer)
 	return out, reusable && out.Reason != contract.ReasonPartialAnswer
 }
 
+// classify returns the outcome that a complete answer stands for.
+func (r *Request) classify(answer *fasthttp.Response) Outcome {
+	if r.Classify != nil {
+		return r.Classify(answer)
+	}
+	return classify(answer)
+}
+
 // The steps at which an exchange can end. After stepEarly the answer is complete
 // but the request may not have been sent completely.
 const (
