--- a/internal/sidecar/leaving.go
+++ b/internal/sidecar/leaving.go
@@ -117,7 +117,9 @@
 	expected := n.target.state().ID
 	out := n.upstream.Do(ctx, upstream.Request{
 		HTTP: req, MaxAnswer: maxHealthBody,
-		Order:   true, // its answer names no request, so that of another check must not precede it
+		// Orders get no connection whose last answer named no request; the answer of
+		// an earlier check could be taken for that of this one there.
+		Order:   true,
 		Matches: func(*fasthttp.Response) upstream.Match { return upstream.MatchUnnamed },
 	}, answer)
 	id := platform.HealthyInstance(answer)
