A caller with little time left is not taken for one that asked before

What callers saw: of two callers at a busy upstream the one with more time left was refused.

Cause: correlation.Origin.Elapsed took the longest time left seen on a route less that of a request for time that its client had waited already, and setTimes took it off the latency objective; beyond the objective the bound fell away.

Evidence: TestShortTimeLeftIsNoSignOfAnEarlierTry fails before (0 s in place of 500 ms until the objective ends) and passes now. TestElapsedTimeOfARetryingClient demanded the guess itself and goes with it; the new test is as strict on the opposite.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -191,16 +191,15 @@
 	} else {
 		c.level = levelOf(c.route.Rank, c.attempt)
 	}
-	c.setTimes(now, origin.Elapsed)
+	c.setTimes(now)
 }
 
-// setTimes applies the timeout and the latency objective of the route. elapsed
-// is the time that the client has already waited.
-func (c *call) setTimes(now time.Time, elapsed time.Duration) {
+// setTimes applies the timeout and the latency objective of the route.
+func (c *call) setTimes(now time.Time) {
 	if t := c.route.Timeout; t > 0 && now.Add(t).Before(c.deadline) {
 		c.deadline = now.Add(t)
 	}
-	if o := c.route.Objective - elapsed; o > 0 && c.route.Idempotent && !c.inner {
+	if o := c.route.Objective; o > 0 && c.route.Idempotent && !c.inner {
 		c.objectiveAt = now.Add(o)
 	}
 }
--- a/internal/vm/correlation/correlation.go
+++ b/internal/vm/correlation/correlation.go
@@ -125,10 +125,6 @@
 	// Nested says that it is a call of the upstream, under Parent.
 	Nested bool
 	Parent Parent
-	// Elapsed is, for a client's request, how long the client had waited before
-	// this attempt: the longest time that a request of the route had left, less
-	// the time that this one has left.
-	Elapsed time.Duration
 }
 
 // Find returns the origin of a request of the route that arrives now with the
@@ -143,7 +139,7 @@
 	if p, ok := t.parentOf(now, name, left, r); ok {
 		return Origin{Nested: true, Parent: p}
 	}
-	return Origin{Elapsed: r.longest - left}
+	return Origin{}
 }
 
 // parentOf returns the parent of a request, and false if the request counts as
