A request waits by its caller's time, not by the latency objective

What callers saw: lookups with seconds left were refused at a busy upstream because their answers would have come after the route's latency objective. Real HTTP, 4 slots of 100 ms, objective 200 ms, 12 requests at once with 2.5 s left: 4 answered 503 "queue-timeout" within 200 ms, in 3 of 3 runs.

Cause: objective_us on the link, scheduler.Request.ObjectiveAt and answerBy put the objective in the place of the deadline for idempotent requests.

Why it works: a request is rejected on arrival, in the queue or at its start only if its deadline less the latency of its kind comes before its expected start.

Evidence: TestCallerWithTimeIsServedAfterTheLatencyObjective fails before (4 of 12 refused) and passes now. The two rows "objective" of TestUnanswerableRequestIsRejectedOnArrival demanded the fault itself.

Simulated call trees (TestOverloadedCallTreesAreServedSteadily): unchanged to the digit.

--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -39,8 +39,8 @@
 	Idempotent bool
 	// Timeout bounds the time until the final answer; 0 means no bound.
 	Timeout time.Duration
-	// Objective is the latency objective: an answer within it has its full
-	// value. 0 means no objective.
+	// Objective is the latency that operators aim at; 0 means none. It is for
+	// reports alone: no request is held, refused or ordered by it.
 	Objective time.Duration
 	// Rank orders requests under overload; 0 is the most urgent.
 	Rank int
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -54,14 +54,11 @@
 	level, admitted contract.Level
 	received        time.Time
 	deadline        time.Time
-	// objectiveAt is when the latency objective of the route ends. The zero
-	// time means that the deadline applies.
-	objectiveAt time.Time
-	method      string
-	uri         string
-	host        string
-	headers     []*linkpb.Header
-	body        []byte
+	method          string
+	uri             string
+	host            string
+	headers         []*linkpb.Header
+	body            []byte
 	// key identifies the content; 0 until it is needed.
 	key poison.Key
 }
@@ -181,7 +178,8 @@
 }
 
 // findOrigin distinguishes a client's request from a nested call of the local
-// upstream, and sets the priority level and the deadlines accordingly.
+// upstream, sets the priority level accordingly and applies the timeout of the
+// route.
 func (n *Node) findOrigin(now time.Time, c *call, left time.Duration) {
 	origin := n.correlation.Find(now, c.route.Name, left)
 	c.inner = origin.Nested
@@ -191,17 +189,9 @@
 	} else {
 		c.level = levelOf(c.route.Rank, c.attempt)
 	}
-	c.setTimes(now)
-}
-
-// setTimes applies the timeout and the latency objective of the route.
-func (c *call) setTimes(now time.Time) {
 	if t := c.route.Timeout; t > 0 && now.Add(t).Before(c.deadline) {
 		c.deadline = now.Add(t)
 	}
-	if o := c.route.Objective; o > 0 && c.route.Idempotent && !c.inner {
-		c.objectiveAt = now.Add(o)
-	}
 }
 
 // levelOf returns the priority level of a client's request. The class follows
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -205,9 +205,6 @@
 	if choice.Report.Restricts() {
 		req.Notice = noticeMessage(choice.Report)
 	}
-	if !c.objectiveAt.IsZero() {
-		req.ObjectiveUs = max(c.objectiveAt.Sub(now).Microseconds(), 1)
-	}
 	return req
 }
 
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -55,7 +55,7 @@
 	if alone {
 		defer n.onProbation.Store(false)
 	}
-	r := schedulerRequest(req, now, deadline)
+	r := schedulerRequest(req, deadline)
 	r.MakesCalls = n.pressure.HasCalls(req.Kind)
 	permit, refusal := n.sched.Acquire(ctx, now, r)
 	if refusal != nil {
@@ -75,7 +75,7 @@
 // the class of their root request. Within a class, nested calls rank before
 // requests of clients, because the work that they belong to has already been
 // admitted.
-func schedulerRequest(req *linkpb.CallRequest, now, deadline time.Time) scheduler.Request {
+func schedulerRequest(req *linkpb.CallRequest, deadline time.Time) scheduler.Request {
 	const ranksPerClass = 2
 	level := contract.Level(req.Level)
 	r := scheduler.Request{
@@ -91,9 +91,6 @@
 	if req.Inner {
 		r.Rank--
 	}
-	if req.ObjectiveUs > 0 {
-		r.ObjectiveAt = now.Add(time.Duration(req.ObjectiveUs) * time.Microsecond)
-	}
 	return r
 }
 
--- a/internal/vm/scheduler/controller.go
+++ b/internal/vm/scheduler/controller.go
@@ -37,18 +37,6 @@
 	// NoWait requests are rejected where they would wait for the limit that
 	// the upstream names: another upstream has none.
 	NoWait bool
-	// ObjectiveAt is when the latency objective of the request ends. Zero, or a
-	// time after Deadline, stands for Deadline.
-	ObjectiveAt time.Time
-}
-
-// answerBy is the time by which the answer must be there for the request to be
-// given a slot.
-func (r *Request) answerBy() time.Time {
-	if r.ObjectiveAt.IsZero() || r.ObjectiveAt.After(r.Deadline) {
-		return r.Deadline
-	}
-	return r.ObjectiveAt
 }
 
 // Refusal says why a request was rejected. The request has not run.
@@ -162,7 +150,7 @@
 		return e, nil
 	}
 	wait := c.expectedWait(now, e)
-	if len(c.queue) >= maxWaiting || now.Add(wait+c.latencies.expected(r.Kind)).After(r.answerBy()) {
+	if len(c.queue) >= maxWaiting || now.Add(wait+c.latencies.expected(r.Kind)).After(r.Deadline) {
 		return nil, &Refusal{Reason: c.lacking(now), RetryAfter: wait}
 	}
 	e.decision = make(chan *Refusal, 1)
@@ -319,7 +307,7 @@
 
 // latestStart is when a request must have started to be answered in time.
 func (c *controller) latestStart(e *entry) time.Time {
-	return e.answerBy().Add(-c.latencies.expected(e.Kind))
+	return e.Deadline.Add(-c.latencies.expected(e.Kind))
 }
 
 // withdraw removes a waiting request and reports whether it did.
