Clients are not shed at the ingress for a queue in which all can wait

What callers saw: 16 clients at an upstream of 4 slots of 100 ms, each with 2.5 s left, were told "shed at the front" 1,365, 1,384 and 1,378 times in 2 s (they ask again after 5 ms), though the last of them waits for 0.3 s.

Cause: the threshold of the scheduler rises with the demand above 0.97 of the slots and with each wait above 15 ms or a tenth of the latency, whatever time the waiting requests have. Clients that ask one after the other keep the demand at all slots for ever.

Why it works: the threshold rises only if something is gained by rejecting earlier: a waiting request is part of a call tree, whose other calls have to wait as well, or it would wait longer than its client stays away after a rejection, a third of the time it has left (PROTOCOL, "Clients honour Retry-After ..."). Else it may only fall. Nothing else of the threshold changes, so call trees are shed as before.

Evidence: TestCallersThatCanWaitAreNotRefusedAtTheIngress, real requests: 0 refused in 3 of 3 runs.

--- a/internal/contract/call.go
+++ b/internal/contract/call.go
@@ -34,6 +34,10 @@
 	HeaderNotAfter = "Heathershed-Not-After-Ms"
 )
 
+// ReturnDivisor bounds how long a client waits before it sends a rejected request
+// again: the time that it has left divided by ReturnDivisor.
+const ReturnDivisor = 3
+
 // RootID identifies a root request and all its nested calls.
 type RootID [16]byte
 
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -31,9 +31,6 @@
 	// A request that returns is expected to take latencyMargin times the mean
 	// latency of its kind.
 	latencyMargin = 2
-	// Clients wait at most a part of their remaining time, so Retry-After is
-	// at most the remaining time of the request divided by retryAfterDivisor.
-	retryAfterDivisor = 3
 )
 
 // call is one request that this node forwards, from its client or from the
@@ -273,7 +270,7 @@
 // least minRetryAfter, plus jitter, and at most the part of the remaining time that
 // clients are willing to wait.
 func (n *Node) retryAfter(c *call, reply *linkpb.CallReply) time.Duration {
-	most := max(time.Until(c.deadline)/retryAfterDivisor, 0)
+	most := max(time.Until(c.deadline)/contract.ReturnDivisor, 0)
 	wait := max(time.Duration(reply.RetryAfterMs)*time.Millisecond, minRetryAfter)
 	latest := wait + retryAfterJitter
 	if isOverload(contract.Reason(reply.Reason)) {
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -85,6 +85,7 @@
 		Admitted:   contract.Level(req.Admitted),
 		Deadline:   deadline,
 		Idempotent: req.Idempotent,
+		Nested:     req.Inner,
 	}
 	// A sender that does not know of a limit may know an upstream without one.
 	r.NoWait = req.NoWait || !req.Notice.GetLimited()
--- a/internal/sidecar/waiting_test.go
+++ b/internal/sidecar/waiting_test.go
@@ -76,6 +76,21 @@
 	t.Logf("2.5 s left: %d served, %d refused; 2.2 s left: %d and %d", more.served, more.refused, less.served, less.refused)
 }
 
+// TestCallersThatCanWaitAreNotRefusedAtTheIngress guards against a threshold that
+// rejects clients although all of them are served long before their time is over.
+func TestCallersThatCanWaitAreNotRefusedAtTheIngress(t *testing.T) {
+	t.Parallel()
+	near := startBusyService(t)
+	const clients = 16 // each waits for up to three others, 0.3 s of 2.5 s
+	var all clientOutcomes
+	var wg sync.WaitGroup
+	all.ask(&wg, near, 2500*time.Millisecond, clients, time.Now().Add(2*time.Second))
+	wg.Wait()
+	if all.refused > 0 {
+		t.Errorf("%d requests were refused and %d served; want none refused", all.refused, all.served)
+	}
+}
+
 // TestCallerWithTimeIsServedAfterTheLatencyObjective guards against refusing a
 // caller whose answer would come after the latency objective and in its own time.
 func TestCallerWithTimeIsServedAfterTheLatencyObjective(t *testing.T) {
--- a/internal/vm/scheduler/controller.go
+++ b/internal/vm/scheduler/controller.go
@@ -32,8 +32,9 @@
 	Deadline time.Time
 	// Idempotent requests may be sent as probes to an unresponsive upstream.
 	Idempotent bool
-	// MakesCalls reports that requests of the kind are known to make nested calls.
-	MakesCalls bool
+	// Nested marks a call of another upstream, and MakesCalls requests of a kind
+	// that is known to make nested calls: both are part of a call tree.
+	Nested, MakesCalls bool
 	// NoWait requests are rejected where they would wait for the limit that
 	// the upstream names: another upstream has none.
 	NoWait bool
@@ -117,9 +118,7 @@
 	if c.slots < 1 {
 		return
 	}
-	mean, slots := c.latencies.mean(), c.usable(now)
-	wait := time.Duration(len(c.queue)) * mean / time.Duration(slots)
-	c.shedder.updateThreshold(now, wait, mean, slots, c.queue)
+	c.shedder.updateThreshold(now, c.latencies.mean(), c.usable(now), c.queue)
 }
 
 // usable returns the number of slots to use.
--- a/internal/vm/scheduler/shedder.go
+++ b/internal/vm/scheduler/shedder.go
@@ -48,6 +48,8 @@
 // Nested calls that follow one another wait for one another: the more call trees
 // there are, the longer each call waits, and no more of them arrive than the slots
 // take. So what waits counts as demand too.
+//
+// The threshold does not rise while all that waits can wait, see canWait.
 type shedder struct {
 	level      float64       // integral of the excess demand, in priority levels
 	queueLevel float64       // added for the queue, in priority levels
@@ -74,7 +76,7 @@
 }
 
 // updateThreshold moves the threshold if the current window has lasted minWindow.
-func (s *shedder) updateThreshold(now time.Time, wait, mean time.Duration, slots int, queue []*entry) {
+func (s *shedder) updateThreshold(now time.Time, mean time.Duration, slots int, queue []*entry) {
 	age := now.Sub(s.since)
 	if age < minWindow {
 		return
@@ -84,10 +86,31 @@
 	demand += s.waiting(queue) / float64(slots)
 	s.demand += demandWeight * (demand - s.demand)
 	s.work, s.since = 0, now
-	s.level += gain * (s.demand - targetDemand) * dt
+	excess := s.demand - targetDemand
+	s.queueLevel = 0
+	if len(queue) > 0 && canWait(now, queue, mean, slots) {
+		excess = min(excess, 0)
+	} else {
+		wait := time.Duration(len(queue)) * mean / time.Duration(slots)
+		normal := max(minNormalWait, time.Duration(normalWaitShare*float64(mean)))
+		s.queueLevel = waitLevels * min(max(wait.Seconds()/normal.Seconds()-1, 0), maxWaitExcess)
+	}
+	s.level += gain * excess * dt
 	s.level = min(max(s.level, 0), float64(contract.MaxLevel))
-	normal := max(minNormalWait, time.Duration(normalWaitShare*float64(mean)))
-	s.queueLevel = waitLevels * min(max(wait.Seconds()/normal.Seconds()-1, 0), maxWaitExcess)
+}
+
+// canWait reports whether nothing would be gained by rejecting requests earlier:
+// none of those in the queue belongs to a call tree, whose other calls have to wait
+// as well, and each is expected to start sooner than its client would come back if
+// it were rejected.
+func canWait(now time.Time, queue []*entry, mean time.Duration, slots int) bool {
+	for i, e := range queue {
+		wait := time.Duration(i+1) * mean / time.Duration(slots)
+		if e.Nested || e.MakesCalls || wait > e.Deadline.Sub(now)/contract.ReturnDivisor {
+			return false
+		}
+	}
+	return true
 }
 
 // waiting returns the number of queued requests that would wait had they met the
