Retry-After follows from the caller's time, not from the latency objective

What callers saw: a caller refused for overload was told to return by the end of the latency objective, less two latencies: of two with 4.5 s left, on routes with objectives of 200 ms and 1.5 s, the one within 500 ms, into the burst that had refused it, the other within 1.3 s. In the old wiring the wait was 0.5 to 2 s by rank, also for a caller with 1 s left, who was told to come back too late.

Cause: Node.latestReturn took the route's objective; shedRetryAfter the rank.

Why it works: retry.Return, for both wirings: from the time at which room is expected (150 ms, or half the span if that is less, where it is not known) up to a third of the time left, the longest that clients wait (PROTOCOL), and never so late that no time remains for the answer. Under overload returns are spread over all of it. Other refusals stay at 150 to 500 ms.

That such a return finds more room is not measured in this commit.

--- /dev/null
+++ b/internal/contract/retry/return.go
@@ -0,0 +1,45 @@
+package retry
+
+import (
+	"time"
+
+	"heathershed/internal/contract"
+)
+
+const (
+	// minReturn is the wait where it is not known when there will be room: a
+	// client that returns sooner is likely to find what it found before.
+	minReturn = 150 * time.Millisecond
+	// returnSpread is the time over which returns are spread where no upstream
+	// lacks capacity.
+	returnSpread = 350 * time.Millisecond
+)
+
+// Return describes a request that was rejected, to its client's next one.
+type Return struct {
+	// Room is the expected time until there is room; 0 if that is not known.
+	Room time.Duration
+	// Left is the time that the client has left.
+	Left time.Duration
+	// Takes is the time to allow for an answer.
+	Takes time.Duration
+	// Overload says that the request was rejected for want of capacity.
+	Overload bool
+}
+
+// After returns how long the client should wait: until there is room, but not
+// longer than clients do, nor so long that the answer would come too late. Under
+// overload the returns are spread over all of that time, so that they do not meet.
+// random is in [0, 1).
+func (r Return) After(random float64) time.Duration {
+	latest := max(min(r.Left/contract.ReturnDivisor, r.Left-r.Takes), 0)
+	from := max(r.Room, min(minReturn, latest/2))
+	to := latest
+	if !r.Overload {
+		to = min(from+returnSpread, latest)
+	}
+	if from >= to {
+		return latest
+	}
+	return from + time.Duration(random*float64(to-from))
+}
--- a/internal/node/caller.go
+++ b/internal/node/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -173,24 +174,12 @@
 		return nil
 	}
 	reply := outcome.NotRunReply(contract.ReasonOverload, "shed at the front door: "+c.kind.Service+" sheds this level")
-	reply.RetryAfterMs = n.shedRetryAfter(c)
+	back := retry.Return{Left: c.timeout - time.Since(c.received), Overload: true}
+	reply.RetryAfterMs = outcome.Milliseconds(back.After(rand.Float64()))
 	n.recordShed(c, reply)
 	return reply
 }
 
-const (
-	// shedRetryBase and shedRetrySpread give the Retry-After of a request shed
-	// at the ingress. It is spread by rank so that the requests do not return
-	// all at once.
-	shedRetryBase   = 500 * time.Millisecond
-	shedRetrySpread = 1500 * time.Millisecond
-)
-
-func (n *Node) shedRetryAfter(c *call) uint32 {
-	spread := time.Duration(c.root.Rank()) * shedRetrySpread / contract.RanksPerClass
-	return uint32((shedRetryBase + spread).Milliseconds())
-}
-
 func (n *Node) recordEnd(c *call, reply *linkpb.CallReply) {
 	kind := timeline.KindCallEndedBadly
 	if contract.Verdict(reply.Verdict) == contract.Ran && c.order.IsZero() {
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -12,6 +12,7 @@
 
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
+	"heathershed/internal/contract/retry"
 	"heathershed/internal/ingress"
 	"heathershed/internal/outcome"
 	"heathershed/internal/poison"
@@ -23,11 +24,6 @@
 	// defaultTimeout bounds requests for which neither the client nor the
 	// route gives a timeout.
 	defaultTimeout = 30 * time.Second
-	// minRetryAfter and retryAfterJitter give the Retry-After of a rejected
-	// request: the minimum, which also stands in where no wait is known, and a
-	// random part on top of it, which is longer under overload.
-	minRetryAfter    = 150 * time.Millisecond
-	retryAfterJitter = 350 * time.Millisecond
 	// A request that returns is expected to take latencyMargin times the mean
 	// latency of its kind.
 	latencyMargin = 2
@@ -266,29 +262,17 @@
 }
 
 // retryAfter returns how long the client of a request that has not run should
-// wait before it sends the request again: until a slot is expected to be free, at
-// least minRetryAfter, plus jitter, and at most the part of the remaining time that
-// clients are willing to wait.
+// wait before it sends the request again.
 func (n *Node) retryAfter(c *call, reply *linkpb.CallReply) time.Duration {
-	most := max(time.Until(c.deadline)/contract.ReturnDivisor, 0)
-	wait := max(time.Duration(reply.RetryAfterMs)*time.Millisecond, minRetryAfter)
-	latest := wait + retryAfterJitter
-	if isOverload(contract.Reason(reply.Reason)) {
-		latest = max(latest, min(n.latestReturn(c), most))
+	back := retry.Return{
+		Room:     time.Duration(reply.RetryAfterMs) * time.Millisecond,
+		Left:     time.Until(c.deadline),
+		Overload: isOverload(contract.Reason(reply.Reason)),
 	}
-	return min(wait+rand.N(latest-wait), most)
-}
-
-// latestReturn returns how long the client of a call can wait and still expect an
-// answer within the latency objective. Under overload, requests that return later
-// meet fewer of those that caused it, and do not all meet one another.
-func (n *Node) latestReturn(c *call) time.Duration {
-	if c.route == nil {
-		return 0
+	if c.route != nil {
+		back.Takes = latencyMargin * n.fleet.Latency(time.Now(), c.service, c.route.Name)
 	}
-	now := time.Now()
-	expected := latencyMargin * n.fleet.Latency(now, c.service, c.route.Name)
-	return c.route.Objective - now.Sub(c.received) - expected
+	return back.After(rand.Float64())
 }
 
 // isOverload reports whether a request was rejected for want of capacity.
