A request waits beside an upstream by its own time, not by its class, and outlives others

What callers saw, two faults that need each other's end: - Waits were bounded by class: lookups 100 ms, checks 50, orders 25 (or half of the latency), a quarter while the queue stood. Requests with seconds left were refused, the most urgent first (32 orders with 5 s left at 26 ms). - When an order was refused, for whatever reason but its deadline, every waiting lookup and check was refused with it (shedBelow), with 5 s left and its own bound unused. That frees no slot for the order, which has gone.

Cause: Config.MaxWait and shedBelow made classes look right beside one another. The promise "orders are shed after lookups and checks" says what gives way where there isn't room for both: the order first at a free slot, and a full queue gives up its lowest. Both stay, with a test and as invariants of the model.

Why it works: a request waits while its time left is more than the latency of its kind. It is refused on arrival if those ahead over the rate leave less than that, and from the queue when it has no more. If the upstream ends nothing after it came, it is refused after a third of its time, so that it can still be answered elsewhere. The threshold counts a wait as long if as long a wait at each further hop, up to 7 deep, would keep a request for over a third of its time left, in place of 25 ms.

Evidence: TestWaitingRequestsOutliveARefusedOrder fails before ("refused, reason overload", lookup and check).

--- a/internal/vm/admission/config.go
+++ b/internal/vm/admission/config.go
@@ -1,11 +1,5 @@
 package admission
 
-import (
-	"time"
-
-	"heathershed/internal/contract"
-)
-
 // Policy selects how requests are admitted.
 type Policy uint8
 
@@ -31,8 +25,6 @@
 	MinLimit int
 	// MaxQueue bounds the number of waiting requests over all classes.
 	MaxQueue int
-	// MaxWait bounds the wait of each class. A class with 0 never waits.
-	MaxWait [contract.NumClasses]time.Duration
 	// ColdFraction is the fraction of the slots, in (0, 1], at which the limit
 	// of an upstream that is warming up starts.
 	ColdFraction float64
@@ -52,14 +44,9 @@
 // given number of slots.
 func DefaultConfig(slots int) Config {
 	return Config{
-		Slots:    slots,
-		MinLimit: defaultMinLimit,
-		MaxQueue: max(defaultMinQueue, queuePerSlot*slots),
-		MaxWait: [contract.NumClasses]time.Duration{
-			contract.ClassLookup: 100 * time.Millisecond,
-			contract.ClassCheck:  50 * time.Millisecond,
-			contract.ClassOrder:  25 * time.Millisecond,
-		},
+		Slots:        slots,
+		MinLimit:     defaultMinLimit,
+		MaxQueue:     max(defaultMinQueue, queuePerSlot*slots),
 		ColdFraction: defaultColdFraction,
 	}
 }
--- a/internal/vm/admission/controller.go
+++ b/internal/vm/admission/controller.go
@@ -26,6 +26,7 @@
 	latency   float64 // recent mean over all kinds, in seconds; 0 is unknown
 	samples   int     // number of samples in the mean
 	queueWait time.Duration
+	lastEnd   time.Time // of a request that ran
 	events    []Event
 }
 
@@ -83,6 +84,7 @@
 		return false
 	}
 	e := &c.arena.entries[i]
+	c.lastEnd = now
 	c.recordResult(now, e, res)
 	e.kind.running--
 	c.running[e.class]--
@@ -119,7 +121,7 @@
 		c.queueWait = 0
 	}
 	c.shedder.recordUse(float64(c.inFlight) / float64(c.limit()))
-	c.shedder.tick(now, c.capacity(), c.waitIsLong())
+	c.shedder.tick(now, c.capacity(), c.waitIsLong(now))
 	c.dropper.tick(now, c.capacity())
 	c.dispatch(now)
 }
--- a/internal/vm/admission/decide.go
+++ b/internal/vm/admission/decide.go
@@ -124,12 +124,7 @@
 // there are at least 128 samples.
 const latencyGain = 1.0 / 128
 
-// refuse returns a refusal. If it refuses an order for any reason but its
-// deadline, it also sheds all waiting requests of lower classes.
 func (c *Controller) refuse(class contract.Class, reason contract.Reason) (Ticket, Outcome, Refusal) {
-	if class == contract.ClassOrder && reason != contract.ReasonDeadline {
-		c.shedBelow(class)
-	}
 	return 0, Refused, c.refusal(class, reason)
 }
 
--- a/internal/vm/admission/doc.go
+++ b/internal/vm/admission/doc.go
@@ -20,8 +20,7 @@
 // leave a few slots of the limit to checks and orders, and checks leave some of
 // these to orders. A full queue makes room for a request by evicting the lowest
 // waiting one, if that is of a lower class or of a lower level in the same
-// class. If an order has to be shed nevertheless, all waiting lookups and checks
-// are shed with it, so that none of them runs from the queue after it.
+// class. A refusal ends no other request than its own.
 //
 // # Threshold
 //
@@ -35,9 +34,9 @@
 //
 // # Waiting
 //
-// Queues are bounded primarily in time: a request whose expected wait exceeds
-// the bound of its class, or whose deadline cannot be met, is refused
-// immediately. Every refusal carries a retry time, spread at random so that
+// A request waits while it can be answered by its deadline: it is refused
+// immediately if the expected wait and the latency of its kind leave no time for
+// that, and from the queue when they no longer do. Every refusal carries a retry time, spread at random so that
 // refused requests do not all return at the same time.
 //
 // Controller makes the decisions. It is deterministic: it takes the time with
--- a/internal/vm/admission/queue.go
+++ b/internal/vm/admission/queue.go
@@ -26,7 +26,11 @@
 	next, prev int32
 	since      time.Time // queued or admitted
 	deadline   time.Time
-	kind       *kindLatency
+	// silentUntil is how long the request waits for an upstream that ends
+	// nothing; of no meaning without a deadline.
+	silentUntil time.Time
+	kind        *kindLatency
+	depth       uint32
 }
 
 // arena holds entries at stable indexes and reuses them. A ticket carries the
--- a/internal/vm/admission/request.go
+++ b/internal/vm/admission/request.go
@@ -83,11 +83,11 @@
 	Refusal Refusal
 }
 
-// depthBonus is the number of ranks that a call gains per hop, up to a depth of
-// maxBonusDepth.
 const (
-	depthBonus    = 48
-	maxBonusDepth = 7
+	// maxDepth is the depth of a call tree that admission allows for.
+	maxDepth = 7
+	// depthBonus is the number of ranks that a call gains per hop.
+	depthBonus = 48
 )
 
 // score returns the level by which the request is shed: deeper calls rank
@@ -95,6 +95,6 @@
 func (r Request) score() contract.Level {
 	class := r.Level.Class()
 	rank := uint32(min(r.Level, contract.MaxLevel-1)) % contract.RanksPerClass
-	rank += depthBonus * min(r.Depth, maxBonusDepth)
+	rank += depthBonus * min(r.Depth, maxDepth)
 	return contract.LevelOf(class, uint16(rank))
 }
--- a/internal/vm/admission/shedder.go
+++ b/internal/vm/admission/shedder.go
@@ -52,7 +52,6 @@
 	use         float64                      // sum of useSamples samples of the fraction of the limit in use
 	useSamples  int
 	neverEmpty  bool // the queue was never empty in the open window
-	standing    bool // the queue was never empty in the last window
 }
 
 func newShedder(now time.Time) shedder {
@@ -106,7 +105,6 @@
 	s.windowAt = now
 	s.shedByQueue = 0
 	s.use, s.useSamples = 0, 0
-	s.standing = s.neverEmpty
 	s.neverEmpty = true
 }
 
--- a/internal/vm/admission/waiting.go
+++ b/internal/vm/admission/waiting.go
@@ -6,54 +6,20 @@
 	"heathershed/internal/contract"
 )
 
-// While the queue is standing, the bound on the wait is 1/standingWaitDivisor
-// of the configured one, as in controlled delay (CoDel).
-const standingWaitDivisor = 4
-
-// An expected wait of more than 1/longWaitDivisor of the bound on the wait of
-// lookups counts as long and calls for shedding.
-const longWaitDivisor = 4
-
-// standing reports whether the queue was never empty in the last window of the
-// shedder, which means that it does not only absorb a burst.
-func (c *Controller) standing() bool { return c.shedder.standing }
-
-// An order may wait at least 1/orderWaitDivisor of the mean latency of the
-// upstream: where requests take long, slots become free rarely.
-const orderWaitDivisor = 2
-
-// maxWait returns the current bound on the wait of a class.
-func (c *Controller) maxWait(class contract.Class) time.Duration {
-	wait := c.cfg.MaxWait[class]
-	if class == contract.ClassOrder && wait > 0 {
-		return max(wait, seconds(c.latency/orderWaitDivisor))
-	}
-	if c.standing() {
-		return wait / standingWaitDivisor
-	}
-	return wait
-}
-
 // wait queues the request. It refuses the request if it cannot run in time, or
 // if the queue is full and holds no lower request to evict.
 func (c *Controller) wait(now time.Time, r *Request, class contract.Class, score contract.Level) (Ticket, Outcome, Refusal) {
 	expected := c.expectedWait(class)
-	if c.tooLate(now, r, expected) {
-		return c.refuse(class, contract.ReasonDeadline)
-	}
-	if expected > c.maxWait(class) || c.cfg.MaxWait[class] == 0 {
-		c.shedder.recordShed(now)
-		return c.refuse(class, contract.ReasonOverload)
-	}
-	if c.queued >= c.cfg.MaxQueue && !c.evictBelow(class, score) {
+	if c.tooLate(now, r, expected) || c.queued >= c.cfg.MaxQueue && !c.evictBelow(class, score) {
 		c.shedder.recordShed(now)
 		return c.refuse(class, contract.ReasonOverload)
 	}
 	i := c.arena.alloc()
 	e := &c.arena.entries[i]
 	e.state = entryQueued
-	e.class, e.score = class, score
+	e.class, e.score, e.depth = class, score, r.Depth
 	e.since, e.deadline = now, r.Deadline
+	e.silentUntil = now.Add(max(expected, r.Deadline.Sub(now)/contract.ReturnDivisor))
 	e.kind = c.kinds.of(r)
 	c.queues[class].push(&c.arena, i)
 	c.queued++
@@ -74,9 +40,27 @@
 	return seconds(float64(ahead) / capacity)
 }
 
-// waitIsLong reports whether the expected wait of lookups is long.
-func (c *Controller) waitIsLong() bool {
-	return c.expectedWait(contract.ClassLookup) > c.cfg.MaxWait[contract.ClassLookup]/longWaitDivisor
+// waitIsLong reports whether a waiting request is expected to wait for longer than
+// it should: a call as long at each further hop of its tree would keep it for more
+// than the time after which its caller would come back if it were refused.
+func (c *Controller) waitIsLong(now time.Time) bool {
+	capacity := c.capacity()
+	if capacity <= 0 {
+		return false
+	}
+	ahead := 0
+	for k := contract.NumClasses - 1; k >= 0; k-- {
+		for i := c.queues[k].head; i != none; i = c.arena.entries[i].next {
+			ahead++
+			e := &c.arena.entries[i]
+			hops := 1 + max(maxDepth-int(e.depth), 0)
+			wait := seconds(float64(ahead*hops) / capacity)
+			if !e.deadline.IsZero() && wait > e.deadline.Sub(now)/contract.ReturnDivisor {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // evictBelow makes room in a full queue by shedding a request of a lower class,
@@ -104,19 +88,6 @@
 	c.unqueue(i)
 	c.arena.release(i)
 	c.events = append(c.events, Event{Ticket: t, Outcome: Refused, Refusal: c.refusal(class, reason)})
-	if class == contract.ClassOrder && reason != contract.ReasonDeadline {
-		c.shedBelow(class)
-	}
-}
-
-// shedBelow sheds all waiting requests of lower classes, so that none of them
-// runs from the queue after a request of the class was shed.
-func (c *Controller) shedBelow(class contract.Class) {
-	for k := contract.ClassLookup; k < class; k++ {
-		for c.queues[k].length > 0 {
-			c.shed(c.queues[k].head, contract.ReasonOverload)
-		}
-	}
 }
 
 func (c *Controller) unqueue(i int32) {
@@ -147,20 +118,23 @@
 	c.events = append(c.events, Event{Ticket: c.arena.ticket(i), Outcome: Running})
 }
 
-// staleReason returns why a queued request must not run any more, or
-// ReasonNone.
+// staleReason returns why a queued request should wait no longer, or ReasonNone:
+// it can't be answered by its deadline any more, or the upstream has ended nothing
+// since it came and it can still be answered elsewhere.
 func (c *Controller) staleReason(now time.Time, i int32) contract.Reason {
 	e := &c.arena.entries[i]
-	if !e.deadline.IsZero() && e.deadline.Sub(now) <= e.kind.expected() {
+	switch {
+	case e.deadline.IsZero():
+		return contract.ReasonNone
+	case e.deadline.Sub(now) <= e.kind.expected():
 		return contract.ReasonDeadline
-	}
-	if now.Sub(e.since) > c.maxWait(e.class) {
+	case !c.lastEnd.After(e.since) && now.After(e.silentUntil):
 		return contract.ReasonQueueTimeout
 	}
 	return contract.ReasonNone
 }
 
-// dropStale sheds all queued requests that must not run any more.
+// dropStale sheds all queued requests that should wait no longer.
 func (c *Controller) dropStale(now time.Time) {
 	for k := contract.NumClasses - 1; k >= 0; k-- {
 		for i := c.queues[k].head; i != none; {
