--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -9,8 +9,6 @@
 
 // Factors by which the cost of an upstream is multiplied.
 const (
-	// remoteFactor applies to upstreams in other data centres.
-	remoteFactor = 1.6
 	// loadFactor scales the square of the utilisation: a fully used upstream
 	// costs 1+loadFactor times as much as an idle one.
 	loadFactor = 2.0
@@ -40,6 +38,10 @@
 	// jitter is the fraction by which costs are randomised, so that nodes with
 	// the same information do not all choose the same upstream.
 	jitter = 0.2
+	// remoteFactor applies to upstreams in other data centres. Below it a
+	// difference of expected latencies is noise, above it the request would take
+	// longer only to stay in its data centre.
+	remoteFactor = 1 + jitter
 )
 
 // Pick chooses the upstream of the service with the lowest cost among those that
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -294,3 +294,24 @@
 		t.Errorf("%d of 100 requests, 3 s apart, sent to the slow upstream, want at most 30", slow)
 	}
 }
+
+// Requests stayed in their data centre where an upstream took 1.4 times as long.
+func TestQuickerUpstreamInAnotherDataCentreIsPreferred(t *testing.T) {
+	const requests = 200
+	latencies := map[string]time.Duration{"local": 140 * time.Millisecond, "remote": 100 * time.Millisecond}
+	f := newFleet()
+	for vm, latency := range latencies {
+		answerOnce(f, epoch, vm, latency)
+	}
+	remote := 0
+	for i := range requests {
+		c, _ := f.Pick(epoch, Query{Service: "span", Kind: "k", Random: nextRandom(uint64(i))})
+		if c.VM == "remote" {
+			remote++
+		}
+		f.Done(epoch, c, Result{Verdict: contract.Ran, Kind: "k", Load: &Load{Slots: 10, Latency: latencies[c.VM]}})
+	}
+	if remote < requests*9/10 {
+		t.Errorf("%d of %d requests went to the quicker upstream, want nine tenths", remote, requests)
+	}
+}
