A request leaves the queue of an upstream that answers nothing while it can be served elsewhere

What callers would see since waits go to the deadline: a lookup queued at an upstream that goes silent spends all of its time there and fails, though another upstream has room. Before, the latency objective ended that wait by accident.

Cause: only new requests are turned away from a silent upstream (responsiveness), not those that wait.

Why it works: a request that has waited for a third of its time left, or as long as was expected if that is more, and in whose wait the upstream has answered nothing, is rejected with "upstream-silent": the sender tries another, two thirds of the time are left. If requests end there, it waits on.

Evidence: TestRequestLeavesAnUpstreamThatAnswersNothing fails before: rejected after 2.9 s of 3 s, now after 1 s; with answers 2.9 s as before.

--- a/internal/vm/scheduler/controller_test.go
+++ b/internal/vm/scheduler/controller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"heathershed/internal/contract"
@@ -131,6 +132,43 @@
 	}
 }
 
+// TestRequestLeavesAnUpstreamThatAnswersNothing guards against spending all of a
+// caller's time in the queue of an upstream that has gone silent.
+func TestRequestLeavesAnUpstreamThatAnswersNothing(t *testing.T) {
+	const left, takes = 3 * time.Second, 100 * time.Millisecond
+	cases := []struct {
+		name    string
+		answers bool
+		want    time.Duration
+		reason  contract.Reason
+	}{
+		{"no answer", false, left / contract.ReturnDivisor, contract.ReasonUpstreamSilent},
+		{"answers", true, left - takes, contract.ReasonQueueTimeout},
+	}
+	for _, tc := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			s := NewScheduler()
+			now := time.Now()
+			s.Open(now, 1, time.Time{}, true)
+			s.c.latencies.observe("k", takes)
+			if _, refusal := s.Acquire(t.Context(), now, Request{Kind: "k", Deadline: now.Add(time.Minute)}); refusal != nil {
+				t.Fatal(refusal.Reason)
+			}
+			if tc.answers {
+				time.AfterFunc(takes, func() {
+					s.mu.Lock()
+					defer s.mu.Unlock()
+					s.c.responsiveness.answered(time.Now())
+				})
+			}
+			_, refusal := s.Acquire(t.Context(), now, Request{Kind: "k", Deadline: now.Add(left)})
+			if waited := time.Since(now); refusal == nil || refusal.Reason != tc.reason || waited != tc.want {
+				t.Errorf("%s: got refusal %+v after %v, want reason %v after %v", tc.name, refusal, waited, tc.reason, tc.want)
+			}
+		})
+	}
+}
+
 func TestCancelledRequestLeavesTheQueue(t *testing.T) {
 	s := NewScheduler()
 	now := time.Now()
--- a/internal/vm/scheduler/scheduler.go
+++ b/internal/vm/scheduler/scheduler.go
@@ -97,28 +97,50 @@
 		return nil, refusal
 	}
 	queued := e.state == waiting
-	latest := s.c.latestStart(e)
+	latest := s.c.latestStart(e).Sub(now)
+	silent := max(s.c.expectedWait(now, e), e.Deadline.Sub(now)/contract.ReturnDivisor)
 	s.setTimer(now)
 	s.mu.Unlock()
 	if !queued {
 		return &Permit{e}, nil
 	}
-	return s.wait(ctx, e, latest.Sub(now))
+	return s.wait(ctx, e, silent, latest)
 }
 
-// wait blocks until the request is started or rejected, the timeout passes or
-// ctx ends.
-func (s *Scheduler) wait(ctx context.Context, e *entry, timeout time.Duration) (*Permit, *Refusal) {
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	reason := contract.ReasonQueueTimeout
-	select {
-	case refusal := <-e.decision:
-		return permitOf(e, refusal)
-	case <-timer.C:
-	case <-ctx.Done():
-		reason = contract.ReasonCancelled
+// wait blocks until the request is started or rejected, it can't be answered in
+// time any more or ctx ends. If the upstream has answered nothing since the request
+// came, it waits for the time of silent only: it can still be answered elsewhere.
+func (s *Scheduler) wait(ctx context.Context, e *entry, silent, latest time.Duration) (*Permit, *Refusal) {
+	silence, timeout := time.NewTimer(silent), time.NewTimer(latest)
+	defer silence.Stop()
+	defer timeout.Stop()
+	for {
+		select {
+		case refusal := <-e.decision:
+			return permitOf(e, refusal)
+		case <-silence.C:
+			if s.hasAnsweredSince(e) {
+				continue
+			}
+			return s.withdraw(e, contract.ReasonUpstreamSilent)
+		case <-timeout.C:
+			return s.withdraw(e, contract.ReasonQueueTimeout)
+		case <-ctx.Done():
+			return s.withdraw(e, contract.ReasonCancelled)
+		}
 	}
+}
+
+// hasAnsweredSince reports whether the upstream has answered a request since the
+// entry was queued.
+func (s *Scheduler) hasAnsweredSince(e *entry) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.c.responsiveness.since.After(e.since)
+}
+
+// withdraw rejects a request that waits, unless that is decided already.
+func (s *Scheduler) withdraw(e *entry, reason contract.Reason) (*Permit, *Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.c.withdraw(e) {
