--- a/internal/vm/admission/controller.go
+++ b/internal/vm/admission/controller.go
@@ -26,7 +26,7 @@
 	latency   float64 // recent mean over all kinds, in seconds; 0 is unknown
 	samples   int     // number of samples in the mean
 	queueWait time.Duration
-	lastEnd   time.Time // of a request that ran
+	lastEnd   time.Time // of a running request
 	events    []Event
 }
 
--- a/internal/vm/admission/doc.go
+++ b/internal/vm/admission/doc.go
@@ -36,8 +36,9 @@
 //
 // A request waits while it can be answered by its deadline: it is refused
 // immediately if the expected wait and the latency of its kind leave no time for
-// that, and from the queue when they no longer do. Every refusal carries a retry time, spread at random so that
-// refused requests do not all return at the same time.
+// that, and from the queue when they no longer do. Every refusal carries a retry
+// time, spread at random so that refused requests do not all return at the same
+// time.
 //
 // Controller makes the decisions. It is deterministic: it takes the time with
 // each event and uses a seeded random source. Gate wraps it for concurrent use
