Under a limit a request that finds nothing waiting does not raise the threshold

Cause: controller.offer raised the pacer's threshold, by up to 120 levels, for each request that found an empty queue. Levels 19 and 48 were shed by thresholds of 50 and 253 that no waiting request had raised.

Why it works: the threshold rises only while one that waits cannot wait longer, as the design says. An empty queue keeps nobody waiting.

Evidence: TestRequestsThatFindNothingWaitingDoNotRaiseTheThreshold, 8 clients under a limit of 20 a second: before, threshold 96 after 10 ms; now 0 for a minute.

--- a/internal/vm/scheduler/controller.go
+++ b/internal/vm/scheduler/controller.go
@@ -149,10 +149,8 @@
 	if c.pacer.excludes(&r) || r.NoWait && paced > 0 {
 		return nil, &Refusal{Reason: contract.ReasonUpstreamLimit, RetryAfter: paced}
 	}
-	if !r.NoWait {
-		if queued := c.tooLongUnderLimit(now); queued > 0 || len(c.queue) == 0 {
-			c.pacer.offered(now, queued, r.Level)
-		}
+	if queued := c.tooLongUnderLimit(now); !r.NoWait && queued > 0 {
+		c.pacer.offered(now, queued, r.Level)
 	}
 	e := &entry{Request: r, since: now}
 	if c.inFlight < c.usable(now) && len(c.queue) == 0 && c.pacer.ready(now) {
--- a/internal/vm/scheduler/pacer.go
+++ b/internal/vm/scheduler/pacer.go
@@ -28,8 +28,9 @@
 // pacer spaces the starts of requests evenly while the upstream names a limit:
 // a token bucket that is filled at the rate of the limit. It also computes the
 // threshold that brings the demand down to the limit: each request that nothing
-// else can take raises it, and time lowers it as fast as requests at the wanted
-// rate raise it. The zero value paces nothing.
+// else can take raises it while those in the queue wait for too long, and time
+// lowers it as fast as requests at the wanted rate raise it. The zero value paces
+// nothing.
 type pacer struct {
 	limited bool
 	// limit is the one that the upstream names, rate that of the starts, both
--- a/internal/vm/scheduler/pacer_test.go
+++ b/internal/vm/scheduler/pacer_test.go
@@ -262,6 +262,29 @@
 	}
 }
 
+// TestRequestsThatFindNothingWaitingDoNotRaiseTheThreshold guards against an ingress
+// that sheds clients although all of them are served long before their time is over.
+func TestRequestsThatFindNothingWaitingDoNotRaiseTheThreshold(t *testing.T) {
+	const clients = 8 // each asks again 50 ms after its answer
+	s := newLimitSim(20)
+	pauses := make([]int, clients) // steps until the next request
+	for range 6000 {               // a minute
+		idle := clients - len(s.waiting) - len(s.running)
+		for i := range pauses {
+			if pauses[i]--; pauses[i] < 0 && idle > 0 {
+				idle--
+				pauses[i] = 5
+				s.offer(Request{Kind: "k", Idempotent: true, Deadline: s.now.Add(2500 * time.Millisecond)})
+			}
+		}
+		s.step()
+		s.c.updateThreshold(s.now)
+		if got := s.c.threshold(s.now); got > 0 {
+			t.Fatalf("threshold %d after %v, want 0", got, s.now.Sub(at(0)))
+		}
+	}
+}
+
 // TestRequestsThatCanGoElsewhereDoNotRaiseTheThreshold guards against an ingress
 // that sheds requests although another upstream has room for them.
 func TestRequestsThatCanGoElsewhereDoNotRaiseTheThreshold(t *testing.T) {
