Test of orders under limits: clients of lookups wait as long as Retry-After says

Cause, the test's: 60 clients that ask again 5 ms after a refusal are thousands of requests a second with the race detector on, so the processor was the limit. Clients wait for Retry-After; the 60 do now. The bounds are the same.

--- a/internal/sidecar/notice_test.go
+++ b/internal/sidecar/notice_test.go
@@ -103,8 +103,19 @@
 
 // keepAsking sends lookups to a service at the nodes, from several clients of
 // each, for a time. It returns how many were answered by an upstream and how
-// many were not.
+// many were not. The clients ask again at once, whatever they are told.
 func keepAsking(path string, length time.Duration, nodes ...*vm) (served, refused int) {
+	return keepAskingAfter(func(answer) time.Duration { return 5 * time.Millisecond }, path, length, nodes...)
+}
+
+// afterRetryAfter is the pause of a client that waits as long as it is told.
+func afterRetryAfter(a answer) time.Duration {
+	seconds, _ := strconv.ParseFloat(a.retryAfter, 64) // not told: 0
+	return time.Duration(seconds*float64(time.Second)) + 5*time.Millisecond
+}
+
+// keepAskingAfter is keepAsking with the pause of a client after an answer.
+func keepAskingAfter(pause func(answer) time.Duration, path string, length time.Duration, nodes ...*vm) (served, refused int) {
 	const clients = 4
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -121,7 +132,7 @@
 						refused++
 					}
 					mu.Unlock()
-					time.Sleep(5 * time.Millisecond)
+					time.Sleep(pause(a))
 				}
 			})
 		}
@@ -262,7 +273,7 @@
 	lookups := make(chan [2]int, 1)
 	go func() {
 		// So many clients that those who wait would do so for most of their time.
-		served, refused := keepAsking("/far/1", length, slices.Repeat([]*vm{near}, 15)...)
+		served, refused := keepAskingAfter(afterRetryAfter, "/far/1", length, slices.Repeat([]*vm{near}, 15)...)
 		lookups <- [2]int{served, refused}
 	}()
 	orders, failed := 0, 0
