A rejected client returns soon after room is expected, not at any time in a third of its time

Cause: since the returns under overload were spread over a third of the time that the client had left, 1.7 s and more. And where room was expected later than that third, all were told the same moment, and met.

Why it works: a client returns within 350 ms from the time at which room is expected (150 ms where that is not known), whatever the reason of the refusal; if that is later than it may wait, in the 350 ms before, or in the last half of its wait if that is shorter. So no one stays away longer than it must, and none meet.

--- a/internal/contract/retry/return.go
+++ b/internal/contract/retry/return.go
@@ -10,8 +10,8 @@
 	// minReturn is the wait where it is not known when there will be room: a
 	// client that returns sooner is likely to find what it found before.
 	minReturn = 150 * time.Millisecond
-	// returnSpread is the time over which returns are spread where no upstream
-	// lacks capacity.
+	// returnSpread is the time over which returns are spread. A threshold that
+	// counts the first of them reaches the ingress nodes within it.
 	returnSpread = 350 * time.Millisecond
 )
 
@@ -23,23 +23,16 @@
 	Left time.Duration
 	// Takes is the time to allow for an answer.
 	Takes time.Duration
-	// Overload says that the request was rejected for want of capacity.
-	Overload bool
 }
 
 // After returns how long the client should wait: until there is room, but not
-// longer than clients do, nor so long that the answer would come too late. Under
-// overload the returns are spread over all of that time, so that they do not meet.
-// random is in [0, 1).
+// longer than clients do, nor so long that the answer would come too late. The
+// returns are spread, so that they do not meet; a wait that is longer than that
+// would leave room unused that the client could have had. random is in [0, 1).
 func (r Return) After(random float64) time.Duration {
 	latest := max(min(r.Left/contract.ReturnDivisor, r.Left-r.Takes), 0)
-	from := max(r.Room, min(minReturn, latest/2))
-	to := latest
-	if !r.Overload {
-		to = min(from+returnSpread, latest)
-	}
-	if from >= to {
-		return latest
-	}
+	from := max(r.Room, minReturn)
+	to := min(from+returnSpread, latest)
+	from = min(from, max(to-returnSpread, to/2))
 	return from + time.Duration(random*float64(to-from))
 }
--- a/internal/node/caller.go
+++ b/internal/node/caller.go
@@ -174,7 +174,7 @@
 		return nil
 	}
 	reply := outcome.NotRunReply(contract.ReasonOverload, "shed at the front door: "+c.kind.Service+" sheds this level")
-	back := retry.Return{Left: c.timeout - time.Since(c.received), Overload: true}
+	back := retry.Return{Left: c.timeout - time.Since(c.received)}
 	reply.RetryAfterMs = outcome.Milliseconds(back.After(rand.Float64()))
 	n.recordShed(c, reply)
 	return reply
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -265,21 +265,11 @@
 // wait before it sends the request again.
 func (n *Node) retryAfter(c *call, reply *linkpb.CallReply) time.Duration {
 	back := retry.Return{
-		Room:     time.Duration(reply.RetryAfterMs) * time.Millisecond,
-		Left:     time.Until(c.deadline),
-		Overload: isOverload(contract.Reason(reply.Reason)),
+		Room: time.Duration(reply.RetryAfterMs) * time.Millisecond,
+		Left: time.Until(c.deadline),
 	}
 	if c.route != nil {
 		back.Takes = latencyMargin * n.fleet.Latency(time.Now(), c.service, c.route.Name)
 	}
 	return back.After(rand.Float64())
 }
-
-// isOverload reports whether a request was rejected for want of capacity.
-func isOverload(r contract.Reason) bool {
-	switch r {
-	case contract.ReasonOverload, contract.ReasonQueueTimeout, contract.ReasonUpstreamLimit:
-		return true
-	}
-	return false
-}
--- a/internal/sidecar/unit_test.go
+++ b/internal/sidecar/unit_test.go
@@ -280,10 +280,11 @@
 		min, max             time.Duration
 	}{
 		{"link lost", contract.ReasonLinkLost, 5000 * ms, 100 * ms, 0, 150 * ms, 500 * ms},
-		{"overload, long time left", contract.ReasonOverload, 4500 * ms, 100 * ms, 0, 150 * ms, 1500 * ms},
+		{"overload, long time left", contract.ReasonOverload, 4500 * ms, 100 * ms, 0, 150 * ms, 500 * ms},
 		{"overload, time nearly used by the work", contract.ReasonOverload, 900 * ms, 400 * ms, 0, 50 * ms, 100 * ms},
 		{"overload, short deadline", contract.ReasonOverload, 900 * ms, 100 * ms, 0, 150 * ms, 300 * ms},
-		{"overload, slot expected later", contract.ReasonQueueTimeout, 4500 * ms, 100 * ms, 600 * ms, 600 * ms, 1500 * ms},
+		{"overload, slot expected later", contract.ReasonQueueTimeout, 4500 * ms, 100 * ms, 600 * ms, 600 * ms, 950 * ms},
+		{"overload, no slot while the client waits", contract.ReasonQueueTimeout, 4500 * ms, 100 * ms, 4000 * ms, 1150 * ms, 1500 * ms},
 		{"deadline passed", contract.ReasonOverload, -ms, 100 * ms, 0, 0, 0},
 	}
 	for _, tc := range cases {
