Test of surplus links: never draws the link that replaces the lost one

Cause, the test's: it draws any node without a link as the surplus one, by map order. That may be the node whose link rightly replaces the one that is down, which is kept.

--- a/internal/sidecar/links_test.go
+++ b/internal/sidecar/links_test.go
@@ -102,8 +102,10 @@
 	p.markAllUp()
 	first := n.wantedVMs()
 	away, surplus := first[0], ""
+	p.down[away] = time.Now().Add(-2 * replaceAfter)
+	replaced := n.freshSubset() // one of these replaces away, so it is no surplus link
 	for vm := range p.members {
-		if !slices.Contains(first, vm) {
+		if !slices.Contains(first, vm) && !slices.Contains(replaced, vm) {
 			surplus = vm
 		}
 	}
