--- a/internal/contract/retry/return.go
+++ b/internal/contract/retry/return.go
@@ -10,8 +10,8 @@
 	// minReturn is the wait where it is not known when there will be room: a
 	// client that returns sooner is likely to find what it found before.
 	minReturn = 150 * time.Millisecond
-	// returnSpread is the time over which returns are spread. A threshold that
-	// counts the first of them reaches the ingress nodes within it.
+	// returnSpread is the time over which returns are spread: some tenths of a
+	// second, about as long as a threshold takes to reach the ingress nodes.
 	returnSpread = 350 * time.Millisecond
 )
 
@@ -27,8 +27,8 @@
 
 // After returns how long the client should wait: until there is room, but not
 // longer than clients do, nor so long that the answer would come too late. The
-// returns are spread, so that they do not meet; a wait that is longer than that
-// would leave room unused that the client could have had. random is in [0, 1).
+// returns are spread over returnSpread, so that they do not meet, and over no more,
+// because room that comes while a client stays away goes unused. random is in [0, 1).
 func (r Return) After(random float64) time.Duration {
 	latest := max(min(r.Left/contract.ReturnDivisor, r.Left-r.Takes), 0)
 	from := max(r.Room, minReturn)
--- a/internal/vm/scheduler/shedder.go
+++ b/internal/vm/scheduler/shedder.go
@@ -49,7 +49,8 @@
 // there are, the longer each call waits, and no more of them arrive than the slots
 // take. So what waits counts as demand too.
 //
-// The threshold does not rise while all that waits can wait, see canWait.
+// The threshold does not rise while requests wait and all of them can, see canWait.
+// While none waits it follows the demand alone.
 type shedder struct {
 	level      float64       // integral of the excess demand, in priority levels
 	queueLevel float64       // added for the queue, in priority levels
