Workspaces: keys, revocation as a lease, the workspace of nested calls

Cause: configurations with workspaces ("tenants" of the platform) were served as if there were none.

Change: the configuration holds a table of keys (internal/workspace), looked up where a request arrives. An unknown key gets 401 only if the table is known to be the newest, else 503. Keys and the workspace that a client names are not forwarded; the upstream gets the name of the workspace that holds the key. Nested calls carry no key and belong to the workspace of their root request, which goes over the link and is kept with the running request. A workspace's priority replaces the route's. The table is a lease: a node that has not confirmed its configuration for nine tenths of the revocation bound rejects requests with keys. Ages are measured by CLOCK_BOOTTIME (internal/bootclock), since the steady clock stands still while a VM is suspended. Without workspaces in the configuration no key is looked at. The HTTP server's errors no longer quote what a client sent.

Ruled out: a lease by the steady or the wall clock; that each request without a key is a client's, unless a running request has its deadline: first calls and calls that are read late would fail their root requests.

The list of TestShouldRetry names the three new reasons: they are decided at the ingress and are never the outcome of an attempt.

--- a/internal/contract/retry/retry_test.go
+++ b/internal/contract/retry/retry_test.go
@@ -228,6 +228,7 @@
 		contract.ReasonLimit, contract.ReasonCancelled, contract.ReasonRetryBudget, contract.ReasonParentEnded,
 		contract.ReasonOrderRunning, contract.ReasonOrderUnknown, contract.ReasonOrderExpired, contract.ReasonOrderHome,
 		contract.ReasonNone, contract.ReasonHeaderTooLarge, contract.ReasonCrashesUpstream, contract.NumReasons,
+		contract.ReasonUnauthenticated, contract.ReasonKeysUnconfirmed, contract.ReasonQuota,
 	}
 	never := map[contract.Reason]bool{}
 	for _, r := range neverRetried {
--- a/internal/contract/verdict.go
+++ b/internal/contract/verdict.go
@@ -110,6 +110,13 @@
 	ReasonHeaderTooLarge
 	// ReasonCrashesUpstream: upstreams that ran the same request crashed.
 	ReasonCrashesUpstream
+	// ReasonUnauthenticated: the request has no key that the active configuration
+	// knows.
+	ReasonUnauthenticated
+	// ReasonKeysUnconfirmed: the table of keys is too old to be used.
+	ReasonKeysUnconfirmed
+	// ReasonQuota: the workspace is over its limit.
+	ReasonQuota
 
 	// NumReasons is the number of reasons, for arrays indexed by Reason.
 	NumReasons = iota
@@ -122,7 +129,7 @@
 	"cancelled", "retry-budget", "parent-ended", "order-running",
 	"order-unknown", "order-expired", "order-home", "stale-target", "ring-full",
 	"upstream-silent", "upstream-limit", "header-too-large",
-	"crashes-upstream",
+	"crashes-upstream", "unauthenticated", "keys-unconfirmed", "quota",
 }
 
 // String returns the value of the Heathershed-Reason header, or "unknown".
@@ -148,7 +155,9 @@
 		return 502
 	case ReasonHeaderTooLarge:
 		return 431
-	case ReasonLimit, ReasonRetryBudget:
+	case ReasonUnauthenticated:
+		return 401
+	case ReasonLimit, ReasonRetryBudget, ReasonQuota:
 		return 429
 	case ReasonDeadline, ReasonCancelled:
 		return 504
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -77,6 +77,7 @@
 		NoDefaultDate:                true,
 		DisablePreParseMultipartForm: true,
 		CloseOnShutdown:              true,
+		SecureErrorLogMessage:        true, // what a client sent may contain its key
 	}
 	return s
 }
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"heathershed/internal/workspace"
 )
 
 // WeightedService is a service that receives a share of a route's requests.
@@ -34,6 +36,9 @@
 	// Unavailable reports that the entry of the route does not say which service
 	// runs its requests. They must not fall to a route with a shorter prefix.
 	Unavailable bool
+	// Public reports whether requests without a key are served, see package
+	// workspace.
+	Public bool
 	// Idempotent reports whether requests may run more than once. Requests of
 	// other routes are orders.
 	Idempotent bool
@@ -68,14 +73,16 @@
 	IdleTimeout            time.Duration
 }
 
-// Table is one version of the routes, services and limits.
+// Table is one version of the routes, services, limits and workspaces.
 type Table struct {
-	Version  uint64
-	Limits   Limits
-	routes   int
-	services map[string]Service
-	targets  []string            // the services that run requests, sorted
-	hosts    map[string][]*Route // by lower-case host, longest prefix first
+	Version uint64
+	Limits  Limits
+	// Workspaces is nil if the configuration has none; requests need no key then.
+	Workspaces *workspace.Table
+	routes     int
+	services   map[string]Service
+	targets    []string            // the services that run requests, sorted
+	hosts      map[string][]*Route // by lower-case host, longest prefix first
 }
 
 // New builds a table. Each error names an invalid route: one with a valid host
@@ -160,6 +167,14 @@
 // NumRoutes returns the number of routes.
 func (t *Table) NumRoutes() int { return t.routes }
 
+// NumWorkspaces returns the number of workspaces.
+func (t *Table) NumWorkspaces() int {
+	if t.Workspaces == nil {
+		return 0
+	}
+	return t.Workspaces.Len()
+}
+
 // Targets returns the services to which routes send requests, sorted. The caller
 // must not change the slice.
 func (t *Table) Targets() []string { return t.targets }
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -37,6 +38,17 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// StrictRevoke says that a key which was taken away must be refused everywhere
+	// within RevokeWithin, also at nodes that are cut off. Both are zero if the
+	// deployment has no such bound.
+	StrictRevoke bool
+	RevokeWithin time.Duration
+	// QuotaWindow is the time over which the limit of a workspace holds, over all
+	// nodes; QuotaOverage is the fraction and QuotaSlack the number of requests in a
+	// window by which it may be exceeded. All are zero if the deployment has none.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
 	// Memory is the memory that the VM provides for the process, in bytes.
 	Memory int64
 	// LogLevel is debug, info, warn or error.
@@ -46,6 +58,7 @@
 const (
 	minApplyWithin = 200 * time.Millisecond
 	maxRetrySlack  = 1_000_000
+	maxQuotaSlack  = 1_000_000
 	maxMemory      = 1 << 40
 )
 
@@ -92,12 +105,30 @@
 		{section: "retries", key: "ratio", value: ratio{&s.RetryRatio}, defaultText: "0.2"},
 		{section: "retries", key: "slack", value: amount{&s.RetrySlack, 0, maxRetrySlack}, defaultText: "50"},
 		{section: "retries", key: "window", value: duration{&s.RetryWindow, time.Second, time.Hour}, defaultText: "10s"},
+		{section: "workspaces", key: "strict_revoke", value: toggle{&s.StrictRevoke}, defaultText: "false"},
+		{section: "workspaces", key: "revoke_within", value: duration{&s.RevokeWithin, 0, time.Hour}, defaultText: "0s"},
+		{section: "quotas", key: "window", value: duration{&s.QuotaWindow, 0, time.Hour}, defaultText: "0s"},
+		{section: "quotas", key: "overage", value: amount{&s.QuotaOverage, 0, 1}, defaultText: "0"},
+		{section: "quotas", key: "slack", value: amount{&s.QuotaSlack, 0, maxQuotaSlack}, defaultText: "0"},
 		{section: "process", key: "grace", value: duration{&s.Grace, time.Second, 10 * time.Minute}, defaultText: "6s"},
 		{section: "process", key: "memory", value: size{&s.Memory, minMemoryLimit, maxMemory}, defaultText: "284MiB"},
 		{section: "process", key: "log_level", value: choice{&s.LogLevel, []string{"debug", "info", "warn", "error"}}, defaultText: "info"},
 	}
 }
 
+// toggle is true or false.
+type toggle struct{ at *bool }
+
+func (v toggle) String() string { return strconv.FormatBool(*v.at) }
+func (v toggle) set(text string) error {
+	on, err := strconv.ParseBool(text)
+	*v.at = on
+	if err != nil {
+		return errors.New("true or false")
+	}
+	return nil
+}
+
 // maxLabel bounds the length of a label, in bytes.
 const maxLabel = 200
 
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -11,12 +11,15 @@
 	"github.com/valyala/fasthttp"
 
 	linkpb "heathershed/api/link"
+	"heathershed/internal/bootclock"
 	"heathershed/internal/contract"
 	"heathershed/internal/contract/retry"
+	"heathershed/internal/freshness"
 	"heathershed/internal/ingress"
 	"heathershed/internal/outcome"
 	"heathershed/internal/poison"
 	"heathershed/internal/routes"
+	"heathershed/internal/workspace"
 	"heathershed/platform"
 )
 
@@ -45,15 +48,21 @@
 	// level is the priority level of the root request, and admitted the
 	// threshold that it met at the ingress.
 	level, admitted contract.Level
-	received        time.Time
-	deadline        time.Time
-	method          string
-	uri             string
-	host            string
-	headers         []*linkpb.Header
-	body            []byte
+	// workspace is the one that the root request belongs to; nil if it has none.
+	workspace *workspace.Workspace
+	received  time.Time
+	deadline  time.Time
+	method    string
+	uri       string
+	host      string
+	headers   []*linkpb.Header
+	body      []byte
 	// key identifies the content; 0 until it is needed.
 	key poison.Key
+	// table is the configuration that the call is served by, and confirmed its newest
+	// confirmation when the call arrived.
+	table     *configuration
+	confirmed freshness.Confirmation
 }
 
 // serveClient handles a request on the ingress, from a client or from the
@@ -116,12 +125,14 @@
 	if reply := n.findRoute(rc, c); reply != nil {
 		return c, reply
 	}
-	n.findOrigin(now, c, in.Remaining)
+	if reply := n.findOrigin(&rc.Request.Header, now, c, in.Remaining); reply != nil {
+		return c, reply
+	}
 	if !c.inner && !n.admits(now, c.deadline) {
 		return c, outcome.NotRunReply(contract.ReasonLeaving, "the node stops")
 	}
 	c.method = string(rc.Method())
-	c.headers = ingress.CopyHeadersIf(&rc.Request.Header, platform.ForwardsRequestHeader)
+	c.headers = ingress.CopyHeadersIf(&rc.Request.Header, c.forwardsHeader)
 	c.body = append([]byte(nil), rc.Request.Body()...)
 	return c, nil
 }
@@ -129,7 +140,10 @@
 // findRoute sets the route and the service of a call. If the request matches
 // no route or is over a limit, the returned reply answers it.
 func (n *Node) findRoute(rc *fasthttp.RequestCtx, c *call) *linkpb.CallReply {
+	// Read before the table: an older confirmation never makes a newer table valid.
+	c.confirmed, _ = n.freshness.Newest()
 	table := n.table.Load()
+	c.table = table
 	if table == nil {
 		return outcome.NotRunReply(contract.ReasonNoUpstream, "no configuration is known yet")
 	}
@@ -167,24 +181,29 @@
 // noRouteDetail says by which version a request has no route, and how old the
 // knowledge is that it is the newest.
 func (n *Node) noRouteDetail(table *configuration) string {
-	return fmt.Sprintf("no route of this host and path in version %d, %s", table.Version, n.freshnessText(time.Now()))
+	return fmt.Sprintf("no route of this host and path in version %d, %s", table.Version, n.freshnessText(bootclock.Now()))
 }
 
 // findOrigin distinguishes a client's request from a nested call of the local
-// upstream, sets the priority level accordingly and applies the timeout of the
-// route.
-func (n *Node) findOrigin(now time.Time, c *call, left time.Duration) {
-	origin := n.correlation.Find(now, c.route.Name, left)
+// upstream, sets the workspace and the priority level accordingly and applies the
+// timeout of the route. If the client may not make the request, the returned reply
+// answers it.
+func (n *Node) findOrigin(h *fasthttp.RequestHeader, now time.Time, c *call, left time.Duration) *linkpb.CallReply {
+	origin, reply := n.identify(h, now, c, left)
+	if reply != nil {
+		return reply
+	}
 	c.inner = origin.Nested
 	if c.inner {
 		c.parentKind, c.parentID = origin.Parent.Kind, origin.Parent.ID
 		c.level, c.admitted = origin.Parent.Level, origin.Parent.Admitted
 	} else {
-		c.level = levelOf(c.route.Rank, c.attempt)
+		c.level = levelOf(rankOf(c.route, c.workspace), c.attempt)
 	}
 	if t := c.route.Timeout; t > 0 && now.Add(t).Before(c.deadline) {
 		c.deadline = now.Add(t)
 	}
+	return nil
 }
 
 // levelOf returns the priority level of a client's request. The class follows
@@ -248,7 +267,8 @@
 // sent again gets 503.
 func statusOf(v contract.Verdict, r contract.Reason) int {
 	switch r {
-	case contract.ReasonUnknownKind, contract.ReasonBadRequest, contract.ReasonTooLarge, contract.ReasonHeaderTooLarge:
+	case contract.ReasonUnknownKind, contract.ReasonBadRequest, contract.ReasonTooLarge, contract.ReasonHeaderTooLarge,
+		contract.ReasonUnauthenticated, contract.ReasonQuota:
 		return contract.Status(v, r)
 	}
 	switch {
--- a/internal/sidecar/cluster_test.go
+++ b/internal/sidecar/cluster_test.go
@@ -318,11 +318,19 @@
 
 // requestWithin is request with the remaining time of the client.
 func (m *vm) requestWithin(left time.Duration, method, path string, body []byte) answer {
+	return m.requestWith(nil, left, method, path, body)
+}
+
+// requestWith is requestWithin with further headers.
+func (m *vm) requestWith(header http.Header, left time.Duration, method, path string, body []byte) answer {
 	req, err := http.NewRequestWithContext(m.tc.t.Context(), method, "http://"+m.cfg.Clients+path, bytes.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
 	req.Host = "h"
+	for name, values := range header {
+		req.Header[name] = values
+	}
 	req.Header.Set(platformtest.HeaderAttempt, fmt.Sprint("a-", attemptNumber.Add(1)))
 	req.Header.Set(platformtest.HeaderRemaining, fmt.Sprint(left.Milliseconds()))
 	resp, err := http.DefaultClient.Do(req)
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	linkpb "heathershed/api/link"
+	"heathershed/internal/bootclock"
 	"heathershed/internal/freshness"
 	store "heathershed/internal/platform"
 	"heathershed/internal/wait"
@@ -66,11 +67,12 @@
 // is active, whatever happens to watches and links.
 func (n *Node) runFreshness(ctx context.Context) error {
 	backoff := newBackoff()
-	overdue := false
+	overdue, lapsed := false, false
 	var newest reads
 	for ctx.Err() == nil {
 		overdue = n.logOverdue(overdue, newest)
-		if left := time.Until(n.freshness.Due()); left > 0 {
+		lapsed = n.logLease(lapsed)
+		if left := n.freshness.Due().Sub(bootclock.Now()); left > 0 {
 			n.readDue.Wait(ctx, left)
 			continue
 		}
@@ -91,9 +93,9 @@
 // time in which a change must be active, and when it is confirmed again. It
 // takes and returns whether it was overdue.
 func (n *Node) logOverdue(before bool, newest reads) bool {
-	now := time.Now()
+	now := bootclock.Now()
 	c, _ := n.freshness.Newest()
-	overdue := min(c.Age(now), now.Sub(n.started)) > time.Duration(n.applyWithin.Load())
+	overdue := min(c.Age(now), time.Since(n.started)) > time.Duration(n.applyWithin.Load())
 	switch {
 	case overdue && !before:
 		n.log.Warn("configuration unconfirmed", "active", n.freshnessText(now),
@@ -104,6 +106,25 @@
 	return overdue
 }
 
+// logLease logs when the table of keys becomes too old to be used, and when it can be
+// used again. It takes and returns whether it was too old.
+func (n *Node) logLease(before bool) bool {
+	now := bootclock.Now()
+	table := n.table.Load()
+	if table == nil || table.Workspaces == nil {
+		return false
+	}
+	c, _ := n.freshness.Newest()
+	lapsed := !n.keyLease().Holds(c.Age(now))
+	switch {
+	case lapsed && !before:
+		n.log.Warn("keys unconfirmed", "active", n.freshnessText(now))
+	case before && !lapsed:
+		n.log.Info("keys confirmed again", "active", n.freshnessText(now))
+	}
+	return lapsed
+}
+
 // runWatch is the task that watches the configuration if this node is one of
 // those of its data centre that do. A watch tells of a change at once, but its
 // silence proves nothing.
@@ -138,7 +159,7 @@
 // readConfiguration reads the configuration, reports the read to the linked
 // nodes and returns the revision from which a watch continues.
 func (n *Node) readConfiguration(ctx context.Context) (uint64, error) {
-	began := time.Now()
+	began, read := time.Now(), bootclock.Now()
 	objects, revision, err := n.objects.List(ctx, platform.ConfigKind, false)
 	n.observeStoreCall(callConfiguration, began, err)
 	if err != nil {
@@ -149,7 +170,7 @@
 			return 0, err
 		}
 	}
-	n.freshness.Read(began)
+	n.freshness.Read(read)
 	n.broadcast()
 	return revision, nil
 }
@@ -208,7 +229,7 @@
 	}
 	n.refused.Store(nil)
 	n.log.Info("configuration in force", "version", table.Version, "by", by, "routes", table.NumRoutes(),
-		"faults", len(faults), "before", n.freshnessText(time.Now()))
+		"workspaces", table.NumWorkspaces(), "faults", len(faults), "before", n.freshnessText(bootclock.Now()))
 	for _, fault := range faults {
 		n.log.Error("configuration entry unreadable", "version", table.Version, "err", fault)
 	}
@@ -237,7 +258,7 @@
 		return
 	}
 	n.logHeldUp(vm, heldUp)
-	n.freshness.Heard(freshness.Confirmation{At: time.Now().Add(-age - heldUp), By: vm})
+	n.freshness.Heard(freshness.Confirmation{At: bootclock.Now().Add(-age - heldUp), By: vm})
 }
 
 // logHeldUp logs a report of another node that was held up for longer than the
--- a/internal/sidecar/logs.go
+++ b/internal/sidecar/logs.go
@@ -69,7 +69,7 @@
 		route = c.route.Name
 	}
 	n.log.Info(message, "id", c.attempt, "parent", c.parentID, "route", route, "service", c.service,
-		"inner", c.inner, "verdict", contract.Verdict(reply.Verdict).String(), "reason", contract.Reason(reply.Reason).String(),
+		"inner", c.inner, "workspace", c.workspaceName(), "verdict", contract.Verdict(reply.Verdict).String(), "reason", contract.Reason(reply.Reason).String(),
 		"detail", reply.Detail, "status", reply.Status, "vm", reply.Vm, "took_ms", took.Milliseconds(),
 		"left_ms", time.Until(c.deadline).Milliseconds(), "come_back_ms", reply.RetryAfterMs)
 }
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	linkpb "heathershed/api/link"
+	"heathershed/internal/bootclock"
 	"heathershed/internal/contract"
 	"heathershed/internal/outcome"
 	"heathershed/internal/telemetry"
@@ -181,7 +182,7 @@
 			n.metrics.version.Update(float64(t.Version))
 		}
 		if c, ok := n.freshness.Newest(); ok {
-			n.metrics.age.Update(c.Age(time.Now()).Seconds())
+			n.metrics.age.Update(c.Age(bootclock.Now()).Seconds())
 		}
 		_, usable := n.fleet.Counts()
 		n.metrics.upstreams.Update(float64(usable))
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -24,6 +24,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"heathershed/internal/bootclock"
 	"heathershed/internal/endpoint"
 	"heathershed/internal/fleet"
 	"heathershed/internal/freshness"
@@ -80,6 +81,12 @@
 	freshness *freshness.Tracker     // of the active configuration
 	// applyWithin is the time in which a change must be active, in nanoseconds.
 	applyWithin atomic.Int64
+	// revokeWithin is the bound of the lease on the table of keys, in nanoseconds; 0 if
+	// there is none.
+	revokeWithin atomic.Int64
+	// announced is the highest version of the configuration that another node has
+	// announced.
+	announced atomic.Uint64
 	// heldUpLogged is when the newest report that was held up was logged, in
 	// nanoseconds since the start; 0 for never.
 	heldUpLogged atomic.Int64
@@ -167,7 +174,7 @@
 		budget:         newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
 		poison:         poison.New(),
 		metrics:        newMetrics(),
-		freshness:      freshness.New(freshnessLimit(cfg.ApplyWithin), now),
+		freshness:      freshness.New(freshnessLimit(cfg.ApplyWithin), bootclock.Now()),
 		stored:         newStoredInstance(),
 		recordChanged:  wait.NewSignal(),
 		checkDue:       wait.NewSignal(),
@@ -178,6 +185,7 @@
 	n.incarnation.Store(uint64(now.UnixMicro()))
 	n.grace.Store(int64(cfg.Grace))
 	n.applyWithin.Store(int64(cfg.ApplyWithin))
+	n.revokeWithin.Store(revocationBound(cfg.StrictRevoke, cfg.RevokeWithin))
 	n.requestsCtx, n.cancelRequests = context.WithCancel(context.Background())
 	n.target = newTarget(n)
 	n.peers = newPeers(n)
@@ -254,6 +262,7 @@
 	n.budget.setBound(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow)
 	n.grace.Store(int64(cfg.Grace))
 	n.applyWithin.Store(int64(cfg.ApplyWithin))
+	n.revokeWithin.Store(revocationBound(cfg.StrictRevoke, cfg.RevokeWithin))
 	n.freshness.SetLimit(freshnessLimit(cfg.ApplyWithin))
 	n.log.Info("reload", "apply_within_ms", cfg.ApplyWithin.Milliseconds(),
 		"retry_ratio", cfg.RetryRatio, "retry_slack", cfg.RetrySlack,
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	linkpb "heathershed/api/link"
+	"heathershed/internal/bootclock"
 	"heathershed/internal/datacentre/membership"
 	"heathershed/internal/fleet"
 	"heathershed/internal/link"
@@ -181,7 +182,7 @@
 	}
 	f.Have.CatalogueVersion = t.Version
 	if ok {
-		f.Have.CatalogueAgeUs = uint64(max(time.Since(read).Microseconds(), 1))
+		f.Have.CatalogueAgeUs = uint64(max(bootclock.Since(read).Microseconds(), 1))
 	}
 	return f
 }
@@ -341,6 +342,7 @@
 // number.
 func (n *Node) fetchNewer(s *link.Session, have *linkpb.Have) {
 	version := have.GetCatalogueVersion()
+	n.noteAnnounced(version)
 	if !n.lacks(version) || !n.peers.fetching.CompareAndSwap(false, true) {
 		return
 	}
@@ -363,12 +365,22 @@
 func (n *Node) endFetch(version uint64) {
 	n.peers.fetching.Store(false)
 	if n.lacks(version) {
-		n.log.Info("configuration not received", "version", version, "active", n.freshnessText(time.Now()))
-		n.freshness.RequireRead(time.Now())
+		n.log.Info("configuration not received", "version", version, "active", n.freshnessText(bootclock.Now()))
+		n.freshness.RequireRead(bootclock.Now())
 		n.readDue.Send()
 	}
 }
 
+// noteAnnounced records a version that another node has announced.
+func (n *Node) noteAnnounced(version uint64) {
+	for {
+		highest := n.announced.Load()
+		if version <= highest || n.announced.CompareAndSwap(highest, version) {
+			return
+		}
+	}
+}
+
 // lacks reports whether a version is newer than the active one.
 func (n *Node) lacks(version uint64) bool {
 	t := n.table.Load()
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -201,6 +201,7 @@
 		Admitted:    uint32(c.admitted),
 		Idempotent:  c.route.Idempotent,
 		NoWait:      choice.NoWait,
+		Workspace:   c.workspaceName(),
 	}
 	if choice.Report.Restricts() {
 		req.Notice = noticeMessage(choice.Report)
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -120,6 +120,7 @@
 	number := n.correlation.Begin(correlation.Parent{
 		ID: req.AttemptId, Kind: req.Kind, Deadline: time.Now().Add(left),
 		Level: contract.Level(req.Level), Admitted: contract.Level(req.Admitted),
+		Workspace: req.Workspace,
 	})
 	defer n.correlation.End(number)
 	sent := time.Now()
@@ -165,6 +166,7 @@
 		Remaining: left,
 		Instance:  state.ID,
 		Caller:    req.FromService,
+		Workspace: req.Workspace,
 	})
 	hreq.SetBody(req.Body)
 }
--- a/internal/sidecar/unit_test.go
+++ b/internal/sidecar/unit_test.go
@@ -262,8 +262,10 @@
 	n.correlation.Begin(correlation.Parent{ID: "root", Kind: "lookup", Level: level, Admitted: admitted, Deadline: now.Add(left)})
 	var c call
 	for !c.inner {
-		c = call{route: &routes.Route{Name: "details"}, deadline: now.Add(left)}
-		n.findOrigin(now, &c, left)
+		c = call{route: &routes.Route{Name: "details"}, deadline: now.Add(left), table: &configuration{Table: &routes.Table{}}}
+		if reply := n.findOrigin(nil, now, &c, left); reply != nil {
+			t.Fatalf("got %v, want no reply", reply)
+		}
 	}
 	req := n.callRequest(&c, fleet.Choice{})
 	if got := schedulerRequest(req, now.Add(left)); got.Level != level || got.Admitted != admitted {
--- a/internal/timeline/text.go
+++ b/internal/timeline/text.go
@@ -40,6 +40,9 @@
 	contract.ReasonUpstreamLimit:   "the limit that the upstream names is used up",
 	contract.ReasonHeaderTooLarge:  "its request line and headers exceed the limit of the configuration",
 	contract.ReasonCrashesUpstream: "upstreams that ran the same request crashed",
+	contract.ReasonUnauthenticated: "no valid key",
+	contract.ReasonKeysUnconfirmed: "the table of keys is too old",
+	contract.ReasonQuota:           "the workspace is over its limit",
 }
 
 // Write writes the events, one line each, and a line for each gap before the
--- a/internal/vm/correlation/correlation.go
+++ b/internal/vm/correlation/correlation.go
@@ -38,6 +38,9 @@
 	minRequests = 3
 	// maxRoutes bounds the routes that are remembered.
 	maxRoutes = 4096
+	// authenticatedFor is how long a route counts as one of clients after one of them
+	// has presented a key.
+	authenticatedFor = time.Minute
 )
 
 // Parent is what a nested call inherits from the request that it belongs to.
@@ -50,6 +53,9 @@
 	Level contract.Level
 	// Admitted is the threshold that the root request met at the ingress.
 	Admitted contract.Level
+	// Workspace is the name of the workspace that the root request belongs to; empty
+	// if it has none.
+	Workspace string
 	// Deadline is the parent's deadline as its upstream knows it.
 	Deadline time.Time
 }
@@ -87,6 +93,9 @@
 	// parents counts the requests of the route that matched a running request,
 	// by the kind of the latter.
 	parents map[string]int
+	// authenticated is when the last request of the route presented a key; the zero
+	// time if none has.
+	authenticated time.Time
 }
 
 // Tracker holds the requests that the upstream runs. Use New. It is safe for
@@ -142,6 +151,59 @@
 	return Origin{}
 }
 
+// Authenticated records a request of the route that has presented a key: it is a
+// client's.
+func (t *Tracker) Authenticated(now time.Time, name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.route(name); r != nil {
+		r.authenticated = now
+		r.all.record(false)
+	}
+}
+
+// FindUnauthenticated is Find for a request without a key where clients need one. A
+// call of the upstream has none, so any request that may be one counts as one: a route
+// on which clients have presented keys recently needs the same proof as in Find, any
+// other route only a running request that may have made the call.
+//
+// known reports whether requests of the route are known to be calls, also if no running
+// request can have made this one.
+func (t *Tracker) FindUnauthenticated(now time.Time, name string, left time.Duration) (o Origin, known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.route(name)
+	if r == nil {
+		return Origin{}, false
+	}
+	if p, ok := t.parentOf(now, name, left, r); ok {
+		return Origin{Nested: true, Parent: p}, true
+	}
+	known = r.callsOnly || r.all.isMajority() || r.shorter.isMajority()
+	if now.Sub(r.authenticated) < authenticatedFor && !known {
+		return Origin{}, false
+	}
+	if p, matched := t.nearest(now.Add(left), name); matched {
+		return Origin{Nested: true, Parent: p}, true
+	}
+	if p, found := t.lowest(r, name, now.Add(left)); found {
+		return Origin{Nested: true, Parent: p}, true
+	}
+	p, found := t.latest(name)
+	return Origin{Nested: found, Parent: p}, known || found
+}
+
+// latest returns the running request, of another route, that ends last: the upstream
+// reads requests late at times, and its calls seem to end after their parents then.
+func (t *Tracker) latest(name string) (p Parent, found bool) {
+	for _, r := range t.running {
+		if r.Kind != name && (!found || r.Deadline.After(p.Deadline)) {
+			p, found = r, true
+		}
+	}
+	return p, found
+}
+
 // parentOf returns the parent of a request, and false if the request counts as
 // a client's.
 func (t *Tracker) parentOf(now time.Time, name string, left time.Duration, r *route) (Parent, bool) {
--- a/internal/vm/correlation/correlation_test.go
+++ b/internal/vm/correlation/correlation_test.go
@@ -118,3 +118,51 @@
 		}
 	}
 }
+
+// Guards against a call of the upstream that is rejected for want of a key, before
+// anything is known of its route: with its parent's deadline, with a full timeout of its
+// own, and read so late that it seems to end after its parent.
+func TestFirstCallWithoutAKeyIsAttributed(t *testing.T) {
+	for _, left := range []time.Duration{800 * ms, 300 * ms, 840 * ms} {
+		tr := New()
+		tr.Begin(Parent{Kind: "order", Workspace: "w", Deadline: epoch.Add(800 * ms)})
+		o, known := tr.FindUnauthenticated(epoch, "call", left)
+		if !o.Nested || !known || o.Parent.Workspace != "w" {
+			t.Errorf("%v left: got %+v, known %v; want a call of the order", left, o, known)
+		}
+	}
+}
+
+// Guards against a client that needs no key where the upstream is busy.
+func TestRequestWithoutAKeyOnARouteOfClientsIsNoCall(t *testing.T) {
+	tr := New()
+	begin(tr, "order", 2000, 800*ms)
+	begin(tr, "lookup", 10, 950*ms)
+	tr.Authenticated(epoch, "client")
+	for i := range 20 {
+		left := 500 * ms
+		if i%5 == 0 {
+			left = 800 * ms // by chance
+		}
+		if o, known := tr.FindUnauthenticated(epoch, "client", left); o.Nested || known {
+			t.Errorf("request %d: got %+v, known %v; want a client's", i, o, known)
+		}
+	}
+}
+
+// Guards against a request without a key that counts as a call although nothing runs.
+func TestRequestWithoutAKeyIsNoCallOfAnIdleUpstream(t *testing.T) {
+	tr := New()
+	if o, known := tr.FindUnauthenticated(epoch, "call", 500*ms); o.Nested || known {
+		t.Errorf("idle upstream: got %+v, known %v; want a client's request", o, known)
+	}
+	tr = New()
+	number := tr.Begin(Parent{Kind: "order", Deadline: epoch.Add(800 * ms)})
+	for range minRequests {
+		tr.FindUnauthenticated(epoch, "call", 800*ms)
+	}
+	tr.End(number)
+	if o, known := tr.FindUnauthenticated(epoch, "call", 800*ms); o.Nested || !known {
+		t.Errorf("after the parent's end: got %+v, known %v; want a call without a parent", o, known)
+	}
+}
