A nested call of uncertain parent has no workspace; the soak speaks keys

Change: such a call gets no workspace. heathershed-soak -workspaces gives its clients permanent, temporary, revoked and unknown keys, revokes a key with each version, and lets upstreams report their load, at times in invalid forms. It checks that no key reaches an upstream, that a request runs for the workspace of its key, that a revoked key runs at no node later than the bound, and that a valid one is not rejected as unknown. One such run is part of TestShortSoak.

--- a/cmd/heathershed-soak/main.go
+++ b/cmd/heathershed-soak/main.go
@@ -33,6 +33,7 @@
 	clients := flag.Int("clients", 3, "clients of each VM")
 	network := flag.String("net", "77.1", "second and third byte of the loopback addresses")
 	crash := flag.Bool("crash", false, "at the end, send a request that crashes upstreams")
+	workspaces := flag.Bool("workspaces", false, "clients present keys, some of them revoked or unknown; upstreams report their load")
 	plan := flag.Bool("plan", false, "print the faults too")
 	flag.Parse()
 	if flag.NArg() > 0 || *vms < 3 || *vms > 200 || *seeds < 1 || *clients < 1 {
@@ -44,7 +45,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	cfg := soak.Config{Bin: *bin, VMs: *vms, Clients: *clients, Length: *length, Net: *network, Crash: *crash}
+	cfg := soak.Config{Bin: *bin, VMs: *vms, Clients: *clients, Length: *length, Net: *network, Crash: *crash, Workspaces: *workspaces}
 	os.Exit(runAll(ctx, cfg, *seed, *seeds, *plan))
 }
 
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -52,6 +52,7 @@
 	work, size          int
 	call, crash         bool
 	timeout             time.Duration
+	key                 string // empty for none
 }
 
 func (r request) build(ctx context.Context) (*http.Request, error) {
@@ -73,6 +74,10 @@
 	req.Host = "h"
 	req.Header.Set(platformtest.HeaderAttempt, r.attempt)
 	req.Header.Set(platformtest.HeaderRemaining, strconv.FormatInt(r.timeout.Milliseconds(), 10))
+	if r.key != "" {
+		req.Header.Set("Authorization", "Bearer "+r.key)
+		req.Header.Set(platformtest.HeaderTenant, "forged")
+	}
 	return req, nil
 }
 
@@ -96,6 +101,7 @@
 		l.RecordOutcome(r.attempt, OutcomeUnknown)
 		return 0, 0
 	}
+	l.workspaces.checkAnswer(r.attempt, resp.StatusCode)
 	outcome := outcomeOf(resp.StatusCode)
 	l.RecordOutcome(r.attempt, outcome)
 	sentTo, _ := l.Dispatched(r.attempt)
@@ -118,7 +124,7 @@
 	case http.StatusOK:
 		return OutcomeComplete
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests,
-		http.StatusServiceUnavailable, http.StatusNotFound:
+		http.StatusServiceUnavailable, http.StatusNotFound, http.StatusUnauthorized:
 		return OutcomeNotRun
 	}
 	return OutcomeUnknown
@@ -161,6 +167,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout+answerSlack)
 	defer cancel()
 	c.ledger.RecordSent(r.attempt, r.order)
+	key, workspace := c.ledger.workspaces.draw(c.rng)
+	r.key = key
+	c.ledger.workspaces.recordSent(r.attempt, key, workspace)
 	c.ledger.RecordDispatch(r.attempt, c.target.name, time.Now().Add(requestTimeout))
 	if cancels := c.rng.Float64() < cancelShare; cancels {
 		r.work = longWorkMS
--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -82,7 +82,7 @@
 	r.ledger.RecordSent(id, false)
 	send(ctx, transport, r.ledger, request{
 		addr: r.vms[n%len(r.vms)].clientAddr, path: "/" + services[0] + "/x", attempt: id,
-		size: callBodySize, timeout: probeTimeout, crash: true,
+		size: callBodySize, timeout: probeTimeout, crash: true, key: r.ledger.workspaces.probeKey(),
 	})
 }
 
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -46,6 +46,16 @@
 	// Crashes: a request that crashes upstreams runs at most crashMaxLate times
 	// once all nodes can know of it.
 	Crashes Promise = "crashes"
+	// KeyForwarded: no upstream gets a key.
+	KeyForwarded Promise = "key forwarded"
+	// KeyRevoked: a request that is sent later than revokeWithin after its key was
+	// taken away does not run, at no node.
+	KeyRevoked Promise = "key revoked"
+	// KeyRejected: a key of all versions is not rejected as unknown.
+	KeyRejected Promise = "key rejected"
+	// WrongWorkspace: a request runs for the workspace of its key, a nested call for
+	// that of its root request, and none for an unknown key.
+	WrongWorkspace Promise = "wrong workspace"
 )
 
 // Violation is one broken promise.
@@ -92,6 +102,8 @@
 type Ledger struct {
 	start   time.Time
 	notices *notices
+	// workspaces is nil in a run without workspaces.
+	workspaces *workspaces
 
 	mu         sync.Mutex
 	attempts   map[string]*attempt
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -120,10 +120,11 @@
 	}
 	_, err = objects.Put(ctx, platform.ConfigKind, platform.Object{
 		Name: platform.ConfigName, Revision: o.revision,
-		Spec: []byte(platformtest.Config(version, names...)),
+		Spec: []byte(o.ledger.workspaces.config(platformtest.Config(version, names...), version)),
 	})
 	if err == nil {
 		o.version = version
+		o.ledger.workspaces.accepted(version)
 	}
 	return version, err
 }
@@ -151,7 +152,7 @@
 	defer cancel()
 	o.ledger.RecordSent(id, false)
 	status, _ = send(ctx, &http.Transport{DisableKeepAlives: true}, o.ledger, request{
-		addr: target.clientAddr, path: "/" + addedService(version) + "/x", attempt: id, timeout: probeTimeout,
+		addr: target.clientAddr, path: "/" + addedService(version) + "/x", attempt: id, timeout: probeTimeout, key: o.ledger.workspaces.probeKey(),
 	})
 	return status
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -27,6 +27,9 @@
 	Length time.Duration
 	// Crash says that a request that crashes upstreams is sent at the end.
 	Crash bool
+	// Workspaces says that clients present keys, some of which are taken away or
+	// unknown, and that upstreams report their load, at times in invalid forms.
+	Workspaces bool
 	// Net is the second and third byte of the loopback addresses.
 	Net string
 }
@@ -77,6 +80,9 @@
 // found. An error means that the run itself failed.
 func Run(ctx context.Context, cfg Config) (Report, error) {
 	r := &run{cfg: cfg, ctx: ctx, ledger: NewLedger(time.Now())}
+	if cfg.Workspaces {
+		r.ledger.workspaces = newWorkspaces(r.ledger)
+	}
 	report := Report{Plan: NewPlan(cfg.Seed, cfg.VMs, cfg.Length)}
 	defer r.close()
 	if err := r.open(); err != nil {
@@ -152,13 +158,13 @@
 func (r *run) openVM(i int, store string) error {
 	v, err := newVM(r.ledger, vmConfig{
 		dir: r.cfg.Dir, bin: r.cfg.Bin, name: fmt.Sprint("vm-", i), ip: r.ip(1 + i),
-		datacentre: "west", service: services[i%len(services)], store: store,
+		datacentre: "west", service: services[i%len(services)], store: store, workspaces: r.cfg.Workspaces,
 	})
 	if err != nil {
 		return err
 	}
 	if i%len(services) > 0 {
-		v.upstream.callPath = "/" + services[0] + "/below"
+		v.upstream.callPath = r.ledger.workspaces.callPath()
 	}
 	r.vms = append(r.vms, v)
 	if err := v.upstream.Start(); err != nil {
@@ -272,7 +278,9 @@
 func (r *run) probeService(v *vm, service, id string) bool {
 	ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
 	defer cancel()
-	status, _ := send(ctx, &http.Transport{DisableKeepAlives: true}, r.ledger, request{addr: v.clientAddr, path: "/" + service + "/x", attempt: id, size: callBodySize, timeout: probeTimeout})
+	status, _ := send(ctx, &http.Transport{DisableKeepAlives: true}, r.ledger, request{
+		addr: v.clientAddr, path: "/" + service + "/x", attempt: id, size: callBodySize, timeout: probeTimeout, key: r.ledger.workspaces.probeKey(),
+	})
 	return status == http.StatusOK
 }
 
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -37,10 +37,15 @@
 		t.Skip("starts processes")
 	}
 	bin := build(t)
+	runs := make([]Config, 0, len(regressions)+1)
 	for _, seed := range regressions {
-		report, err := Run(t.Context(), Config{
-			Bin: bin, Dir: t.TempDir(), Seed: seed, VMs: 4, Clients: 2, Length: 5 * time.Second, Net: testNet(),
-		})
+		runs = append(runs, Config{Seed: seed})
+	}
+	runs = append(runs, Config{Seed: regressions[0], Workspaces: true})
+	for _, cfg := range runs {
+		seed := cfg.Seed
+		cfg.Bin, cfg.Dir, cfg.VMs, cfg.Clients, cfg.Length, cfg.Net = bin, t.TempDir(), 4, 2, 5*time.Second, testNet()
+		report, err := Run(t.Context(), cfg)
 		if err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
 		}
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,6 +39,10 @@
 	readLimit = 1 << 20
 )
 
+// nestedMark separates the id of a root attempt from the number of the run that makes a
+// nested call.
+const nestedMark = "-call"
+
 // Health is how an upstream handles requests.
 type Health int
 
@@ -64,6 +69,7 @@
 	callPath      string // path of its nested calls; empty for none
 	clientAddr    string // where its node receives its calls
 	stop          context.CancelFunc
+	running       atomic.Int64 // requests
 
 	mu      sync.Mutex
 	server  *http.Server
@@ -169,6 +175,9 @@
 	sentTo, sent := u.ledger.Dispatched(attempt)
 	u.ledger.notices.recordArrival(id, attempt, sentTo, sent)
 	run := u.ledger.RecordRun(attempt)
+	u.ledger.workspaces.checkRun(attempt, r.Header)
+	running := u.running.Add(1)
+	defer u.running.Add(-1)
 	if late := time.Since(drained); !drained.IsZero() && late > drainBound && u.ledger.NoFaultSince(time.Now().Add(-drainBound), faultNode) {
 		u.ledger.AddViolation(LateDrain, attempt, fmt.Sprintf("%v after the acknowledgement at %s", late.Round(time.Millisecond), id))
 	}
@@ -186,12 +195,29 @@
 	}
 	rw.Header().Set(platformtest.HeaderAttempt, attempt)
 	rw.Header().Set(platformtest.HeaderSeal, seal(attempt))
+	if u.ledger.workspaces != nil {
+		rw.Header().Set(platformtest.HeaderLoad, loadReport(attempt, running))
+	}
 	u.mu.Lock()
 	u.notice.write(rw.Header())
 	u.mu.Unlock()
 	writeAnswer(rw, health, Body(attempt, intParam(r, "size")))
 }
 
+// loadReports are the forms in which an upstream reports its load, with the number of
+// running requests. All but the first two are invalid.
+var loadReports = []string{"%d,0,4", "%d,0,4,130", "%d,0", "%d,0,4,100,7", "-%d,0,4", "%d,0,x", "%d000000000000000000000,0,4"}
+
+// loadReport returns the load that the answer to an attempt reports. Most of them are
+// valid.
+func loadReport(attempt string, running int64) string {
+	form := int(xxhash.Sum64String(attempt) % (8 * uint64(len(loadReports))))
+	if form >= len(loadReports) {
+		form %= 2
+	}
+	return fmt.Sprintf(loadReports[form], running)
+}
+
 // slowBy is the extra time that a slow upstream takes for an attempt. It
 // depends on the attempt's id alone.
 func slowBy(attempt string) time.Duration {
@@ -201,7 +227,7 @@
 // nestedCall calls another service where the request asks for it.
 func (u *Upstream) nestedCall(r *http.Request, attempt string, run int) {
 	if u.callPath != "" && r.URL.Query().Has("call") {
-		u.call(r.Context(), fmt.Sprintf("%s-c%d", attempt, run))
+		u.call(r.Context(), fmt.Sprint(attempt, nestedMark, run))
 	}
 }
 
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -65,6 +65,7 @@
 // vmConfig is the files and listen addresses of a VM's parts.
 type vmConfig struct {
 	dir, bin, name, ip, datacentre, service, store string
+	workspaces                                     bool
 }
 
 // newVM writes the settings and opens the proxies. It starts no process.
@@ -77,6 +78,9 @@
 		ApplyWithin: applyWithin, Grace: grace, RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow,
 		Memory: memoryLimit, LogLevel: "info",
 	}
+	if p.workspaces {
+		cfg.StrictRevoke, cfg.RevokeWithin = true, revokeWithin
+	}
 	ini := filepath.Join(p.dir, p.name+".ini")
 	if err := writeSettings(ini, cfg); err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/soak/workspaces.go
@@ -0,0 +1,191 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"heathershed/platform/platformtest"
+)
+
+const (
+	// revokeWithin is the time within which the nodes are told to reject a key that
+	// was taken away. It is longer than applyWithin, so that a node whose reads fail
+	// once goes on.
+	revokeWithin = 4 * time.Second
+	// keyVersions is the number of versions of the configuration in which a
+	// temporary key is valid.
+	keyVersions = 2
+	// temporaryShare, revokedShare and unknownShare are the fractions of requests with
+	// a temporary key, one that may have been taken away, and one that never existed.
+	temporaryShare = 0.1
+	revokedShare   = 0.05
+	unknownShare   = 0.03
+)
+
+// callRoute is the route of nested calls in a run with workspaces. Clients don't use it:
+// without a key a call is told from a client's request by its route.
+const callRoute = "calls"
+
+// unknownKey is a key that no configuration holds.
+const unknownKey = "never-valid"
+
+// workspaceNames are the workspaces of a run.
+var workspaceNames = []string{"w0", "w1"}
+
+// permanentKey returns the key that a workspace holds in all versions.
+func permanentKey(workspace string) string { return workspace + "-permanent" }
+
+// temporaryKey returns the key that a workspace gets with a version. It is taken away
+// by the version keyVersions later.
+func temporaryKey(workspace string, version int) string {
+	return fmt.Sprintf("%s-temporary-%d", workspace, version)
+}
+
+// workspaceKeys returns the keys of each workspace in a version.
+func workspaceKeys(version int) map[string][]string {
+	keys := make(map[string][]string)
+	for _, name := range workspaceNames {
+		keys[name] = []string{permanentKey(name)}
+		for v := max(version-keyVersions+1, 1); v <= version; v++ {
+			keys[name] = append(keys[name], temporaryKey(name, v))
+		}
+	}
+	return keys
+}
+
+// credential is the key that an attempt was sent with.
+type credential struct {
+	key, workspace string
+	sent           time.Time
+}
+
+// workspaces records which keys clients present, when keys were taken away, and checks
+// that upstreams get requests of valid keys only. The nil value checks nothing. It is
+// safe for concurrent use.
+type workspaces struct {
+	ledger *Ledger
+
+	mu      sync.Mutex
+	sent    map[string]credential // by root attempt
+	version int
+	// revoked is when the version that took a key away was acknowledged.
+	revoked map[string]time.Time
+}
+
+func newWorkspaces(l *Ledger) *workspaces {
+	return &workspaces{ledger: l, sent: make(map[string]credential), revoked: make(map[string]time.Time)}
+}
+
+// callPath returns the path of nested calls.
+func (w *workspaces) callPath() string {
+	if w == nil {
+		return "/" + services[0] + "/below"
+	}
+	return "/" + callRoute + "/below"
+}
+
+// config adds the workspaces to a configuration.
+func (w *workspaces) config(config string, version int) string {
+	if w == nil {
+		return config
+	}
+	config = platformtest.WithRoute(config, callRoute, services[0])
+	return platformtest.WithWorkspaces(config, workspaceKeys(version), "")
+}
+
+// accepted records that the object API has acknowledged a version.
+func (w *workspaces) accepted(version int) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version = version
+	for _, name := range workspaceNames {
+		if gone := version - keyVersions; gone > 0 {
+			w.revoked[temporaryKey(name, gone)] = time.Now()
+		}
+	}
+}
+
+// draw returns a key for the next request of a client and the workspace that it belongs
+// to; the latter is empty for an unknown key.
+func (w *workspaces) draw(rng *rand.Rand) (key, workspace string) {
+	if w == nil {
+		return "", ""
+	}
+	w.mu.Lock()
+	version := w.version
+	w.mu.Unlock()
+	workspace = workspaceNames[rng.IntN(len(workspaceNames))]
+	switch share := rng.Float64(); {
+	case share < unknownShare:
+		return unknownKey, ""
+	case share < unknownShare+revokedShare:
+		return temporaryKey(workspace, max(version-keyVersions, 1)), workspace
+	case share < unknownShare+revokedShare+temporaryShare:
+		return temporaryKey(workspace, max(version, 1)), workspace
+	}
+	return permanentKey(workspace), workspace
+}
+
+// probeKey returns the key of requests that check a node's state.
+func (w *workspaces) probeKey() string {
+	if w == nil {
+		return ""
+	}
+	return permanentKey(workspaceNames[0])
+}
+
+// recordSent records the key that an attempt is sent with.
+func (w *workspaces) recordSent(attempt, key, workspace string) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sent[attempt] = credential{key: key, workspace: workspace, sent: time.Now()}
+}
+
+// checkAnswer checks the status that a client got: a permanent key is never unknown.
+func (w *workspaces) checkAnswer(attempt string, status int) {
+	if w == nil || status != http.StatusUnauthorized {
+		return
+	}
+	w.mu.Lock()
+	c := w.sent[attempt]
+	w.mu.Unlock()
+	if c.workspace != "" && c.key == permanentKey(c.workspace) {
+		w.ledger.AddViolation(KeyRejected, attempt, "401 for a key of all versions")
+	}
+}
+
+// checkRun checks a request that arrives at an upstream. Nested calls belong to the
+// workspace of their root request, or to none where several requests may have made them.
+func (w *workspaces) checkRun(attempt string, h http.Header) {
+	if w == nil {
+		return
+	}
+	if h.Get("Authorization") != "" {
+		w.ledger.AddViolation(KeyForwarded, attempt, "an upstream got the key")
+	}
+	root, _, nested := strings.Cut(attempt, nestedMark)
+	w.mu.Lock()
+	c, known := w.sent[root]
+	revoked := w.revoked[c.key]
+	w.mu.Unlock()
+	if !known {
+		return // a probe of the run itself
+	}
+	got := h.Get(platformtest.HeaderTenant)
+	if uncertain := nested && got == ""; got != c.workspace && !uncertain {
+		w.ledger.AddViolation(WrongWorkspace, attempt, fmt.Sprintf("workspace %q, want %q", got, c.workspace))
+	}
+	if late := c.sent.Sub(revoked); !nested && !revoked.IsZero() && late > revokeWithin {
+		w.ledger.AddViolation(KeyRevoked, attempt, fmt.Sprintf("sent %v after its key was taken away", late.Round(time.Millisecond)))
+	}
+}
--- a/internal/vm/correlation/correlation.go
+++ b/internal/vm/correlation/correlation.go
@@ -54,7 +54,7 @@
 	// Admitted is the threshold that the root request met at the ingress.
 	Admitted contract.Level
 	// Workspace is the name of the workspace that the root request belongs to; empty
-	// if it has none.
+	// if it has none, or if requests of several workspaces may be the parent.
 	Workspace string
 	// Deadline is the parent's deadline as its upstream knows it.
 	Deadline time.Time
@@ -196,14 +196,41 @@
 // latest returns the running request, of another route, that ends last: the upstream
 // reads requests late at times, and its calls seem to end after their parents then.
 func (t *Tracker) latest(name string) (p Parent, found bool) {
+	var w workspaces
 	for _, r := range t.running {
-		if r.Kind != name && (!found || r.Deadline.After(p.Deadline)) {
+		if r.Kind == name {
+			continue
+		}
+		w.add(r)
+		if !found || r.Deadline.After(p.Deadline) {
 			p, found = r, true
 		}
 	}
+	p.Workspace = w.only()
 	return p, found
 }
 
+// workspaces collects the workspaces of the requests that may be the parent of a call.
+// An upstream must not get the name of another workspace than the call's, so it gets
+// none where they differ.
+type workspaces struct {
+	name          string
+	known, differ bool
+}
+
+func (w *workspaces) add(p Parent) {
+	w.differ = w.differ || w.known && p.Workspace != w.name
+	w.name, w.known = p.Workspace, true
+}
+
+// only returns the name that all of them have, or the empty string.
+func (w *workspaces) only() string {
+	if w.differ {
+		return ""
+	}
+	return w.name
+}
+
 // parentOf returns the parent of a request, and false if the request counts as
 // a client's.
 func (t *Tracker) parentOf(now time.Time, name string, left time.Duration, r *route) (Parent, bool) {
@@ -255,15 +282,18 @@
 func (t *Tracker) nearest(deadline time.Time, name string) (p Parent, found bool) {
 	distance := lateTolerance + earlyTolerance
 	first := uint64(0)
+	var w workspaces
 	for number, r := range t.running {
 		diff := deadline.Sub(r.Deadline)
 		if r.Kind == name || diff < -earlyTolerance || diff > lateTolerance {
 			continue
 		}
+		w.add(r)
 		if diff = max(diff, -diff); diff < distance || diff == distance && number < first {
 			p, distance, first, found = r, diff, number, true
 		}
 	}
+	p.Workspace = w.only()
 	return p, found
 }
 
@@ -274,10 +304,12 @@
 func (t *Tracker) lowest(r *route, name string, deadline time.Time) (p Parent, found bool) {
 	certain := true
 	first := uint64(0)
+	var w workspaces
 	for number, c := range t.running {
 		if c.Kind == name || c.Deadline.Before(deadline.Add(-earlyTolerance)) || !r.mayMake(c.Kind) {
 			continue
 		}
+		w.add(c)
 		certain = certain && (!found || c.Kind == p.Kind)
 		if !found || c.Level < p.Level || c.Level == p.Level && number < first {
 			p, first, found = c, number, true
@@ -286,6 +318,7 @@
 	if !certain && len(r.parents) == 0 {
 		p.ID, p.Kind = "", ""
 	}
+	p.Workspace = w.only()
 	return p, found
 }
 
--- a/internal/vm/correlation/correlation_test.go
+++ b/internal/vm/correlation/correlation_test.go
@@ -166,3 +166,16 @@
 		t.Errorf("after the parent's end: got %+v, known %v; want a call without a parent", o, known)
 	}
 }
+
+// Guards against a call that gets the name of a workspace although requests of several
+// ones may have made it.
+func TestCallOfUncertainParentHasNoWorkspace(t *testing.T) {
+	for _, left := range []time.Duration{800 * ms, 300 * ms, 900 * ms} {
+		tr := New()
+		tr.Begin(Parent{Kind: "order", Workspace: "w", Deadline: epoch.Add(800 * ms)})
+		tr.Begin(Parent{Kind: "order", Workspace: "v", Deadline: epoch.Add(801 * ms)})
+		if o, _ := tr.FindUnauthenticated(epoch, "call", left); !o.Nested || o.Parent.Workspace != "" {
+			t.Errorf("%v left: got %+v, want a call without a workspace", left, o)
+		}
+	}
+}
