Soak: revoked keys are drawn from all versions; what planted faults of keys report

Cause: clients drew only the key that was taken away last, so a key that was valid for ever could not be seen to run later than the bound: a planted fault reported 0.

--- a/internal/soak/workspaces.go
+++ b/internal/soak/workspaces.go
@@ -126,7 +126,7 @@
 	case share < unknownShare:
 		return unknownKey, ""
 	case share < unknownShare+revokedShare:
-		return temporaryKey(workspace, max(version-keyVersions, 1)), workspace
+		return temporaryKey(workspace, 1+rng.IntN(max(version-keyVersions, 1))), workspace
 	case share < unknownShare+revokedShare+temporaryShare:
 		return temporaryKey(workspace, max(version, 1)), workspace
 	}
