The threshold does not rise while a slot is free and nothing waits

A stalled VM raises the mean, so the threshold rose with nothing in flight and nothing waiting, and clients were shed although there was room.

Change: the integral does not rise in a window in which nothing waits, a slot is free and no request of a call tree was offered.

Ruled out: no rise at all while a slot is free and nothing waits.

--- a/internal/vm/scheduler/controller.go
+++ b/internal/vm/scheduler/controller.go
@@ -40,6 +40,9 @@
 	NoWait bool
 }
 
+// isTreePart reports whether the request makes or is a nested call.
+func (r *Request) isTreePart() bool { return r.Nested || r.MakesCalls }
+
 // Refusal says why a request was rejected. The request has not run.
 type Refusal struct {
 	Reason contract.Reason
@@ -118,7 +121,7 @@
 	if c.slots < 1 {
 		return
 	}
-	c.shedder.updateThreshold(now, c.latencies.mean(), c.usable(now), c.queue)
+	c.shedder.updateThreshold(now, c.latencies.mean(), c.usable(now), c.inFlight, c.queue)
 }
 
 // usable returns the number of slots to use.
@@ -141,7 +144,7 @@
 // offer starts the request, queues it or rejects it.
 func (c *controller) offer(now time.Time, r Request) (*entry, *Refusal) {
 	c.updateThreshold(now)
-	c.shedder.offered(c.latencies.expected(r.Kind), r.Level, r.Admitted)
+	c.shedder.offered(c.latencies.expected(r.Kind), &r)
 	if !c.responsiveness.admits(now, c.inFlight, c.latencies.mean(), r.Idempotent) {
 		return nil, &Refusal{Reason: contract.ReasonUpstreamSilent, RetryAfter: probeInterval}
 	}
--- a/internal/vm/scheduler/shedder.go
+++ b/internal/vm/scheduler/shedder.go
@@ -49,20 +49,23 @@
 // there are, the longer each call waits, and no more of them arrive than the slots
 // take. So what waits counts as demand too.
 //
-// The threshold does not rise while requests wait and all of them can, see canWait.
-// While none waits it follows the demand alone.
+// The threshold does not rise while requests wait and all of them can, see canWait,
+// nor while none waits and a slot is free, unless requests of call trees were offered:
+// what they will call is not known yet. The demand is reckoned with a mean latency,
+// which a stalled VM raises for a while although there is room.
 type shedder struct {
 	level      float64       // integral of the excess demand, in priority levels
 	queueLevel float64       // added for the queue, in priority levels
 	demand     float64       // moving mean, as a share of the slots
 	work       time.Duration // offered since the start of the window
 	since      time.Time     // start of the window
+	trees      bool          // requests of call trees were offered since then
 }
 
-// offered records an offered request with its expected latency. Its root request
-// has the level, and was admitted under the threshold.
-func (s *shedder) offered(expected time.Duration, level, admitted contract.Level) {
-	s.work += time.Duration(float64(expected) * s.projection(level, admitted))
+// offered records an offered request with its expected latency.
+func (s *shedder) offered(expected time.Duration, r *Request) {
+	s.work += time.Duration(float64(expected) * s.projection(r.Level, r.Admitted))
+	s.trees = s.trees || r.isTreePart()
 }
 
 // projection returns the factor by which the calls for root requests of the class
@@ -77,7 +80,7 @@
 }
 
 // updateThreshold moves the threshold if the current window has lasted minWindow.
-func (s *shedder) updateThreshold(now time.Time, mean time.Duration, slots int, queue []*entry) {
+func (s *shedder) updateThreshold(now time.Time, mean time.Duration, slots, inFlight int, queue []*entry) {
 	age := now.Sub(s.since)
 	if age < minWindow {
 		return
@@ -90,7 +93,9 @@
 	forSlot := func(n int) time.Duration { return time.Duration(n) * mean / time.Duration(slots) }
 	excess := s.demand - targetDemand
 	s.queueLevel = 0
-	if len(queue) > 0 && canWait(now, queue, forSlot) {
+	idle := len(queue) == 0 && inFlight < slots && !s.trees
+	s.trees = false
+	if idle || len(queue) > 0 && canWait(now, queue, forSlot) {
 		excess = min(excess, 0)
 	} else {
 		normal := max(minNormalWait, time.Duration(normalWaitShare*float64(mean)))
@@ -106,7 +111,7 @@
 // it were rejected. startIn gives the time until the n-th in the queue starts.
 func canWait(now time.Time, queue []*entry, startIn func(n int) time.Duration) bool {
 	for i, e := range queue {
-		if e.Nested || e.MakesCalls || startIn(i+1) > e.Deadline.Sub(now)/contract.ReturnDivisor {
+		if e.isTreePart() || startIn(i+1) > e.Deadline.Sub(now)/contract.ReturnDivisor {
 			return false
 		}
 	}
--- a/internal/vm/scheduler/shedder_test.go
+++ b/internal/vm/scheduler/shedder_test.go
@@ -31,9 +31,9 @@
 			admitted = history[i-lag]
 		}
 		load := multiple * (1 - min(admitted/levels, 1))
-		s.offered(time.Duration(load*slots*float64(step)), 0, contract.Level(admitted))
+		s.offered(time.Duration(load*slots*float64(step)), &Request{Admitted: contract.Level(admitted)})
 		now = now.Add(step)
-		s.updateThreshold(now, 20*time.Millisecond, slots, nil)
+		s.updateThreshold(now, 20*time.Millisecond, slots, slots, nil)
 		if i >= steps-int(2*time.Second/step) {
 			sum += load
 			n++
@@ -113,8 +113,8 @@
 	for _, tc := range cases {
 		s := shedder{since: start}
 		for i := range 25 {
-			s.offered(slots*minWindow, 0, 0)
-			s.updateThreshold(start.Add(time.Duration(i+1)*minWindow), mean, slots, queueOf(tc.waiting, tc.request))
+			s.offered(slots*minWindow, &Request{})
+			s.updateThreshold(start.Add(time.Duration(i+1)*minWindow), mean, slots, slots, queueOf(tc.waiting, tc.request))
 		}
 		if got := s.threshold(); (got > 0) != tc.rises {
 			t.Errorf("%s: got threshold %d after a second, want it above 0: %v", tc.name, got, tc.rises)
@@ -125,11 +125,11 @@
 func TestLongQueueRaisesTheThresholdWhileItLasts(t *testing.T) {
 	var s shedder
 	s.since = time.Unix(0, 0)
-	s.updateThreshold(time.Unix(1, 0), 20*time.Millisecond, 10, queueOf(30, Request{Deadline: time.Unix(1, 0).Add(150 * time.Millisecond)}))
+	s.updateThreshold(time.Unix(1, 0), 20*time.Millisecond, 10, 10, queueOf(30, Request{Deadline: time.Unix(1, 0).Add(150 * time.Millisecond)}))
 	if s.threshold() == 0 {
 		t.Fatal("got threshold 0 with a wait of 60 ms in the queue and 150 ms left, want it above 0")
 	}
-	s.updateThreshold(time.Unix(2, 0), 20*time.Millisecond, 10, nil)
+	s.updateThreshold(time.Unix(2, 0), 20*time.Millisecond, 10, 10, nil)
 	if s.threshold() != 0 {
 		t.Fatal("got a threshold above 0 after the queue emptied, want 0")
 	}
@@ -142,10 +142,39 @@
 	queue := queueOf(slots/2, Request{Nested: true, Deadline: time.Unix(10, 0)})
 	s := shedder{since: time.Unix(0, 0)}
 	for i := range 25 {
-		s.offered(slots*minWindow*9/10, 0, 0)
-		s.updateThreshold(time.Unix(0, 0).Add(time.Duration(i+1)*minWindow), 20*time.Millisecond, slots, queue)
+		s.offered(slots*minWindow*9/10, &Request{})
+		s.updateThreshold(time.Unix(0, 0).Add(time.Duration(i+1)*minWindow), 20*time.Millisecond, slots, slots, queue)
 	}
 	if s.threshold() == 0 {
 		t.Error("0.9 of the slots offered and half as many requests waiting: got threshold 0 after a second, want it above 0")
 	}
 }
+
+// Guards against a threshold that rises while there is room: the mean latency that a
+// stalled VM has raised makes the demand look higher than it is. Call trees are excepted,
+// since the calls that they will make are not known yet.
+func TestThresholdStaysWhileASlotIsFreeAndNothingWaits(t *testing.T) {
+	const slots = 4
+	start := time.Unix(0, 0)
+	cases := []struct {
+		name     string
+		request  Request
+		inFlight int
+		rises    bool
+	}{
+		{"a free slot", Request{}, slots - 1, false},
+		{"no free slot", Request{}, slots, true},
+		{"a free slot, nested call", Request{Nested: true}, slots - 1, true},
+		{"a free slot, request that makes calls", Request{MakesCalls: true}, slots - 1, true},
+	}
+	for _, tc := range cases {
+		s := shedder{since: start}
+		for i := range 25 {
+			s.offered(2*slots*minWindow, &tc.request)
+			s.updateThreshold(start.Add(time.Duration(i+1)*minWindow), 20*time.Millisecond, slots, tc.inFlight, nil)
+		}
+		if got := s.threshold(); (got > 0) != tc.rises {
+			t.Errorf("%s: got threshold %d after a second at twice the slots, want it above 0: %v", tc.name, got, tc.rises)
+		}
+	}
+}
