upstream: reject answers without a valid status line

Cause: fasthttp reads the status 000 as 200, takes each number of three digits as a status and each version of the protocol, and nothing behind it looked at the line.

The tests failed on the code before: - "HTTP/1.1 000 OK" with the attempt id and the seal was a success for orders and lookups, with its body; so were "HTTP/9.9 200", "HTTP/2.0 200", "HTTP/0.9 200" and "HTTP/1.2 200". 001, 020, 099, 600 and 999 counted as run and were passed on. - "HTTP/9.9 421", and 000 with the header of a rejection, counted as not run. - An interim answer of 001, 020 or 099, or of another version, was accepted as such. - Clients got these answers with status 200, body and seal, over a link and beside the upstream; a health check answered with 000 was passed. - A reply on a link with verdict "ran" and status 0, 20, 99, 600, 1000 or 2^31 was taken for an answer; 0 reaches a client as 200.

Change: the status line of each head, interim ones included, is checked before the codec parses it; the heads before the final one are read one by one, at most 100 as before. A malformed answer may have run (reason upstream-failed), leaves nothing in the response, and its connection is closed. A reply on a link whose status ends no exchange may have run (partial-answer). The log line of a health check names status 0 where there is no valid answer; it named 200.

--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -52,9 +53,21 @@
 	if uint64(len(reply.Body)) != reply.BodyLength {
 		return failure(contract.MayHaveRun, contract.ReasonPartialAnswer, "answer cut on the link")
 	}
+	if contract.Verdict(reply.Verdict) == contract.Ran && !endsExchange(reply.Status) {
+		return failure(contract.MayHaveRun, contract.ReasonPartialAnswer, "answer on the link has no valid status")
+	}
 	return reply
 }
 
+// endsExchange reports whether an answer of this status is the final one. Those from 100
+// to 199 announce another one, except 101.
+func endsExchange(status uint32) bool {
+	return status == http.StatusSwitchingProtocols || status >= http.StatusOK && status < endOfStatuses
+}
+
+// endOfStatuses is the first number above those that HTTP defines as statuses.
+const endOfStatuses = 600
+
 // timeLeft returns the time until the deadline of ctx; 0 if it has none.
 func timeLeft(ctx context.Context) time.Duration {
 	deadline, ok := ctx.Deadline()
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -23,11 +23,14 @@
 	incarnation atomic.Uint64
 	started     chan string
 	release     sync.Map // kind -> chan struct{}
+	// status is the status of the replies.
+	status atomic.Uint32
 }
 
 func newTestNode(vm string, incarnation uint64) *testNode {
 	n := &testNode{vm: vm, started: make(chan string, 64)}
 	n.setIncarnation(incarnation)
+	n.status.Store(200)
 	return n
 }
 
@@ -48,7 +51,7 @@
 		}
 		return failure(contract.MayHaveRun, contract.ReasonCancelled, "")
 	}
-	return &linkpb.CallReply{Verdict: uint32(contract.Ran), Status: 200, Body: []byte("answer to " + req.Kind)}
+	return &linkpb.CallReply{Verdict: uint32(contract.Ran), Status: n.status.Load(), Body: []byte("answer to " + req.Kind)}
 }
 
 func (n *testNode) Heartbeat(*Session) *linkpb.ControlFrame {
@@ -436,6 +439,31 @@
 	}
 }
 
+// TestReplyWithoutAStatusIsMalformed guards against a reply whose status is none, of a
+// faulty peer, that is taken for an answer: a client gets status 0 as 200. A status that
+// announces another answer ends no call either.
+func TestReplyWithoutAStatusIsMalformed(t *testing.T) {
+	p := newPair(t)
+	p.setTarget(7)
+	waitFor(t, func() bool { return p.set.Up("b") })
+	for status, valid := range map[uint32]bool{
+		0: false, 1: false, 20: false, 99: false, 100: false, 103: false, 101: true, 199: false, 200: true, 204: true,
+		421: true, 599: true, 600: false, 999: false, 1000: false, 1 << 31: false, 1<<32 - 200: false,
+	} {
+		p.served.status.Store(status)
+		kind := fmt.Sprint("status ", status)
+		close(p.served.releaseOf(kind))
+		reply := <-p.call(t.Context(), kind)
+		<-p.served.started
+		if valid && (contract.Verdict(reply.Verdict) != contract.Ran || reply.Status != status || len(reply.Body) == 0) {
+			t.Errorf("status %d: got %v, want the reply", status, reply)
+		}
+		if !valid && (contract.Verdict(reply.Verdict) != contract.MayHaveRun || reply.Status != 0 || len(reply.Body) > 0) {
+			t.Errorf("status %d: got %v, want may-have-run and nothing of the reply", status, reply)
+		}
+	}
+}
+
 // Guards against replies that reach the wrong caller when calls end in another
 // order than they began.
 func TestOutOfOrderRepliesReachTheirCallers(t *testing.T) {
--- a/internal/sidecar/leaving.go
+++ b/internal/sidecar/leaving.go
@@ -122,9 +122,12 @@
 		Order:   true,
 		Matches: func(*fasthttp.Response) upstream.Match { return upstream.MatchUnnamed },
 	}, answer)
-	id := platform.HealthyInstance(answer)
-	n.log.Info("health check", "expected", expected, "instance", id, "status", answer.StatusCode(), "outcome", out.Verdict.String(), "detail", out.Detail)
-	if out.Verdict != contract.Ran || id == "" {
+	id, status := "", 0
+	if out.Verdict == contract.Ran { // else the answer is none, and has the status 200 of an empty one
+		id, status = platform.HealthyInstance(answer), answer.StatusCode()
+	}
+	n.log.Info("health check", "expected", expected, "instance", id, "status", status, "outcome", out.Verdict.String(), "detail", out.Detail)
+	if id == "" {
 		return false
 	}
 	n.target.update("health", func(tr *instance.Tracker) instance.Change {
--- a/internal/upstream/failure.go
+++ b/internal/upstream/failure.go
@@ -48,7 +48,7 @@
 // sent, which may belong to another caller. The errors of the HTTP library quote
 // it.
 func describe(err error) string {
-	for _, own := range []error{errStaleAnswers, errNoFraming, errTooManyBytes, errNoMemory, fasthttp.ErrBodyTooLarge, io.ErrUnexpectedEOF, io.EOF} {
+	for _, own := range []error{errStaleAnswers, errNoFraming, errNoStatus, errTooManyInterim, errTooManyBytes, errNoMemory, fasthttp.ErrBodyTooLarge, io.ErrUnexpectedEOF, io.EOF} {
 		if errors.Is(err, own) {
 			return own.Error()
 		}
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -19,6 +19,8 @@
 	maxHead = 32 << 10
 	// maxStale bounds the answers to earlier requests that are skipped.
 	maxStale = 2
+	// maxInterim bounds the answers before the final one.
+	maxInterim = 100
 	// framingDivisor gives the bytes that chunk sizes and extensions may take,
 	// as a part of the bound on the body.
 	framingDivisor = 8
@@ -36,6 +38,11 @@
 	// errNoFraming is returned for an answer whose end cannot be distinguished
 	// from a truncation.
 	errNoFraming = errors.New("answer with neither a length nor chunks")
+	// errNoStatus is returned for an answer whose status line has no status from 100
+	// to 599, or another protocol than HTTP/1.0 or HTTP/1.1.
+	errNoStatus = errors.New("status line is invalid")
+	// errTooManyInterim is returned if the final answer does not come.
+	errTooManyInterim = errors.New("too many interim answers")
 	// errTooManyBytes is returned for an answer that takes more bytes than its
 	// head, body and framing may.
 	errTooManyBytes = errors.New("answer takes more bytes than allowed")
@@ -115,19 +122,52 @@
 	return err
 }
 
-// readHead reads the head of an answer.
+// readHead reads the head of the final answer. On an error answer is empty.
 func readHead(cn *conn, answer *fasthttp.Response) error {
+	for range maxInterim + 1 {
+		answer.Reset()
+		answer.SkipBody = true
+		if err := readOneHead(cn, answer); err != nil {
+			answer.Reset()
+			return err
+		}
+		if !isInterim(answer.StatusCode()) {
+			return nil
+		}
+	}
 	answer.Reset()
-	answer.SkipBody = true
-	err := answer.ReadLimitBody(cn.r, 0)
+	return errTooManyInterim
+}
+
+// readOneHead reads one head, of a final answer or of one before it.
+func readOneHead(cn *conn, answer *fasthttp.Response) error {
+	err := parseHead(cn.r, answer)
 	var small *fasthttp.ErrSmallBuffer
-	if errors.As(err, &small) && cn.r.Size() < maxHead {
+	if cn.r.Size() < maxHead && (errors.As(err, &small) || errors.Is(err, bufio.ErrBufferFull)) {
 		cn.enlarge()
-		err = answer.ReadLimitBody(cn.r, 0)
+		err = parseHead(cn.r, answer)
 	}
 	return err
 }
 
+// parseHead checks the status line and parses the head behind it.
+func parseHead(r *bufio.Reader, answer *fasthttp.Response) error {
+	line, err := peekLine(r)
+	if err != nil {
+		return err
+	}
+	if !isStatusLine(line) {
+		return errNoStatus
+	}
+	return answer.Header.Read(r)
+}
+
+// isInterim reports whether another answer follows one of this status. 101 ends the
+// exchange.
+func isInterim(status int) bool {
+	return status < fasthttp.StatusOK && status != fasthttp.StatusSwitchingProtocols
+}
+
 // bodyBytes returns the bytes that a body may take with its framing.
 func bodyBytes(length, most int) int {
 	switch {
