--- /dev/null
+++ b/internal/quota/delegations.go
@@ -0,0 +1,196 @@
+package quota
+
+import (
+	"slices"
+	"time"
+)
+
+// Delegation is the promise of a node not to use its share of the limits for a time, and
+// to let another node use it: the owner, of each workspace of which that node is the
+// owner by each of Lists.
+type Delegation struct {
+	Valid time.Duration
+	// Nodes is the number of nodes among which the sender divides the limits, itself
+	// included. Stale is set if the others may have ceased to count the sender; its
+	// share then counts only where most nodes are in contact.
+	Nodes int
+	Stale bool
+	Lists [][]ID
+}
+
+// received holds the delegations that a coordinator has received.
+type received struct {
+	self ID
+	from map[ID]delegated
+	// groups holds the delegations by their content; nodes that agree send the same.
+	groups map[uint64]*group
+	// next is a time before which no delegation ends.
+	next time.Time
+}
+
+type group struct {
+	Delegation
+	senders int
+}
+
+// delegated is the delegation of one node.
+type delegated struct {
+	until time.Time
+	group uint64
+}
+
+// put stores a delegation, and reports whether it covers other workspaces than the one
+// that it replaces.
+func (r *received) put(from ID, until time.Time, d Delegation) (changed bool) {
+	key := keyOf(d)
+	old, known := r.from[from]
+	r.from[from] = delegated{until: until, group: key}
+	if len(r.from) == 1 || until.Before(r.next) {
+		r.next = until
+	}
+	if known && old.group == key {
+		return false
+	}
+	if known {
+		r.leave(old.group)
+	}
+	if g := r.groups[key]; g != nil {
+		g.senders++
+	} else {
+		r.groups[key] = &group{d, 1}
+	}
+	return true
+}
+
+func (r *received) leave(key uint64) {
+	g := r.groups[key]
+	if g.senders--; g.senders == 0 {
+		delete(r.groups, key)
+	}
+}
+
+// removeEnded removes the delegations that have ended.
+func (r *received) removeEnded(now time.Time) {
+	r.next = now.Add(maxSeconds * time.Second)
+	for id, d := range r.from {
+		switch {
+		case !d.until.After(now):
+			r.leave(d.group)
+			delete(r.from, id)
+		case d.until.Before(r.next):
+			r.next = d.until
+		}
+	}
+}
+
+// share returns the part of the rate of a workspace that was delegated.
+func (r *received) share(workspace ID) float64 {
+	senders, nodes := 0, 0
+	fresh, stale := 0.0, 0.0
+	for _, g := range r.groups {
+		if !r.owns(g, workspace) {
+			continue
+		}
+		senders, nodes = senders+g.senders, max(nodes, g.Nodes)
+		part := float64(g.senders) / float64(max(g.Nodes, 1))
+		if g.Stale {
+			stale += part
+		} else {
+			fresh += part
+		}
+	}
+	if 2*senders > nodes {
+		fresh += stale
+	}
+	return min(fresh, 1)
+}
+
+// owns reports whether this node is the owner of a workspace by all lists of a group.
+func (r *received) owns(g *group, workspace ID) bool {
+	for _, list := range g.Lists {
+		if ownerIn(list, workspace) != r.self {
+			return false
+		}
+	}
+	return len(g.Lists) > 0
+}
+
+// keyOf returns a hash of the content of a delegation.
+func keyOf(d Delegation) uint64 {
+	key := uint64(d.Nodes) << 1
+	if d.Stale {
+		key++
+	}
+	for _, list := range d.Lists {
+		for _, id := range list {
+			key = mix(key ^ uint64(id))
+		}
+		key = mix(key + uint64(len(list)) + 1)
+	}
+	return key
+}
+
+// maxFormer bounds the lists of coordinators that a delegation names beside the present
+// one.
+const maxFormer = 3
+
+// promises holds what a node has promised to coordinators.
+type promises struct {
+	// list is the present list of coordinators, and until the end of the newest promise
+	// by it.
+	list  []ID
+	until time.Time
+	// former holds earlier lists whose promises have not ended.
+	former []promised
+	// sent is when the newest delegation was sent to each coordinator.
+	sent map[ID]time.Time
+}
+
+type promised struct {
+	list  []ID
+	until time.Time
+}
+
+// setList replaces the list of coordinators.
+func (p *promises) setList(now time.Time, list []ID) {
+	if slices.Equal(p.list, list) {
+		return
+	}
+	if p.until.After(now) {
+		p.former = append(p.former, promised{p.list, p.until})
+	}
+	p.list, p.until = list, time.Time{}
+	clear(p.sent)
+	p.removeEnded(now)
+}
+
+// removeEnded removes the lists whose promises have ended. A former list that is the
+// present one again says nothing new.
+func (p *promises) removeEnded(now time.Time) {
+	p.former = slices.DeleteFunc(p.former, func(f promised) bool {
+		if slices.Equal(f.list, p.list) {
+			p.until = maxTime(p.until, f.until)
+			return true
+		}
+		return !f.until.After(now)
+	})
+}
+
+// lists returns the lists that a delegation names. ok is false if there are too many.
+func (p *promises) lists() (lists [][]ID, ok bool) {
+	if len(p.former) > maxFormer {
+		return nil, false
+	}
+	lists = append(lists, p.list)
+	for _, f := range p.former {
+		lists = append(lists, f.list)
+	}
+	return lists, true
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/quota/node.go
@@ -0,0 +1,586 @@
+package quota
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// maxCoordinators is the number of nodes that own workspaces. The failure of one
+	// affects the workspaces that it owns; each node sends a delegation to all of them.
+	maxCoordinators = 8
+	// minRenewal is the least time between two delegations to a coordinator, and
+	// renewalPerNode what it is for each node: a coordinator receives at most one
+	// delegation in renewalPerNode, however many nodes there are.
+	minRenewal     = 250 * time.Millisecond
+	renewalPerNode = 8 * time.Millisecond
+	// validRenewals is how many renewals a delegation lasts, so that it survives the loss
+	// of two. marginDivisor gives the part of it by which the owner ends it early, which
+	// covers the latency of the network and the drift of clocks.
+	validRenewals = 3
+	marginDivisor = 10
+	// retainFor is how long a node that is no longer known still counts as alive. A node
+	// whose record was removed by mistake writes it again in that time.
+	retainFor = time.Minute
+	// confirmedFor is how long a reading of the records proves that the other nodes still
+	// count this one. They remove a record at the earliest 45 s after they have lost the
+	// links to its node, and count it for retainFor after that.
+	confirmedFor = 100 * time.Second
+	// askTimeout is how long an answer to a question is waited for before the next one.
+	askTimeout = 250 * time.Millisecond
+	// maxExtra bounds the tokens that a node holds in advance.
+	maxExtra = 256
+	// demandPeriod is the time constant of a node's own demand.
+	demandPeriod = time.Second
+)
+
+// Workspace is a workspace with a limit.
+type Workspace struct {
+	Name string
+	Limit
+}
+
+// Ask is a question for tokens. Sent is the time of the asking node, which a Grant
+// returns.
+type Ask struct {
+	Workspace     string
+	Needed, Extra int
+	Sent          time.Duration
+}
+
+// Grant is the answer to an Ask.
+type Grant struct {
+	Workspace string
+	Granted   int
+	Sent      time.Duration
+	// RetryAfter is when to ask again; 0 if all that was needed is granted.
+	RetryAfter time.Duration
+	// Limit is that of the owner's configuration.
+	Limit Limit
+}
+
+// Verdict is the decision for a request.
+type Verdict uint8
+
+const (
+	// Rejected: the workspace is over its limit.
+	Rejected Verdict = iota
+	// Admitted: a token was spent, or the workspace has no limit.
+	Admitted
+	// Unknown: the owner must be asked, or has been asked and has not answered yet.
+	Unknown
+)
+
+// Decision is the decision for a request.
+type Decision struct {
+	Verdict
+	// RetryAfter is the time until there may be tokens, for a request that is rejected.
+	RetryAfter time.Duration
+	// To is the node that Ask must be sent to; empty if no question is due.
+	To  string
+	Ask Ask
+}
+
+// Delegating is a delegation with the node that it must be sent to.
+type Delegating struct {
+	To string
+	Delegation
+}
+
+// Change says that a workspace has reached its limit, or is below it again.
+type Change struct {
+	Workspace string
+	Limited   bool
+	// Rejected is the number of requests that were rejected meanwhile.
+	Rejected int
+}
+
+// account is what a node keeps of a workspace.
+type account struct {
+	id    ID
+	name  string
+	terms terms
+	pool  *pool
+	share float64 // of the rate, that this node may create
+	held  [heldLots]heldTokens
+
+	// demand is the number of recent requests, which decays with demandPeriod.
+	demand   float64
+	demandAt time.Time
+	waiting  int // requests for which no answer has come
+	askedAt  time.Time
+	asked    bool
+	denied   time.Time // until then no question is sent
+
+	// rejected is the number of requests that were rejected since the workspace reached
+	// its limit, and limited whether Changes has reported that.
+	rejected     int
+	lastRejected time.Time
+	limited      bool
+}
+
+// heldLots bounds the grants that a node holds at once.
+const heldLots = 4
+
+type heldTokens struct {
+	count int
+	until time.Time
+}
+
+// Node decides for one node. It is safe for concurrent use.
+type Node struct {
+	mu      sync.Mutex
+	config  Config
+	self    string
+	id      ID
+	started time.Time
+	latest  time.Time
+
+	accounts map[string]*account
+	// members holds the nodes that may be alive, this one included, with the time at
+	// which each was known last.
+	members map[string]time.Time
+	ranked  []ranked
+	names   map[ID]string
+	// confirmed is when the records were read last.
+	confirmed time.Time
+	received  received
+	promises  promises
+}
+
+type ranked struct {
+	name string
+	id   ID
+}
+
+// NewNode returns the state of a node that starts now.
+func NewNode(self string, config Config, now time.Time) *Node {
+	n := &Node{
+		config: config, self: self, id: IDOf(self), started: now, latest: now,
+		accounts: make(map[string]*account),
+		members:  map[string]time.Time{self: now},
+	}
+	n.received = received{self: n.id, from: make(map[ID]delegated), groups: make(map[uint64]*group)}
+	n.promises.sent = make(map[ID]time.Time)
+	n.rank()
+	return n
+}
+
+// SetConfig replaces the common part of the limits.
+func (n *Node) SetConfig(now time.Time, c Config) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c == n.config {
+		return
+	}
+	now = n.settle(now)
+	n.config = c
+	for _, a := range n.accounts {
+		n.setLimit(now, a, a.terms.Limit)
+	}
+}
+
+// SetWorkspaces replaces the workspaces that have a limit. A lowered limit is binding at
+// once.
+func (n *Node) SetWorkspaces(now time.Time, all []Workspace) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now = n.settle(now)
+	present := make(map[string]bool, len(all))
+	for _, w := range all {
+		present[w.Name] = true
+		a := n.accounts[w.Name]
+		if a == nil {
+			t := n.config.terms(w.Limit)
+			a = &account{id: IDOf(w.Name), name: w.Name, terms: t, pool: newPool(now, t), demandAt: now}
+			a.share = n.received.share(a.id)
+			n.accounts[w.Name] = a
+		} else if a.terms.Limit != w.Limit {
+			n.setLimit(now, a, w.Limit)
+		}
+	}
+	for name := range n.accounts {
+		if !present[name] {
+			delete(n.accounts, name)
+		}
+	}
+}
+
+func (n *Node) setLimit(now time.Time, a *account, l Limit) {
+	a.pool.advance(now, a.share)
+	if l.lower(a.terms.Limit) {
+		a.held = [heldLots]heldTokens{}
+	}
+	a.terms = n.config.terms(l)
+	a.pool.setTerms(a.terms)
+	a.denied = time.Time{}
+}
+
+// SetMembers sets the nodes that are known. One that is no longer among them counts as
+// alive for retainFor. confirmed is when the records of the nodes were read last, zero
+// for never.
+func (n *Node) SetMembers(now time.Time, known []string, confirmed time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now = n.settle(now)
+	n.confirmed = confirmed
+	changed := false
+	for _, vm := range append(known, n.self) {
+		if _, old := n.members[vm]; !old {
+			changed = true
+		}
+		n.members[vm] = now
+	}
+	for vm, at := range n.members {
+		if now.Sub(at) > retainFor {
+			delete(n.members, vm)
+			changed = true
+		}
+	}
+	if changed {
+		n.rank()
+	}
+	n.updateShares(now)
+}
+
+// rank orders the nodes as coordinators. The order depends only on their names.
+func (n *Node) rank() {
+	n.ranked = n.ranked[:0]
+	n.names = make(map[ID]string, len(n.members))
+	for vm := range n.members {
+		id := IDOf(vm)
+		n.ranked = append(n.ranked, ranked{vm, id})
+		n.names[id] = vm
+	}
+	slices.SortFunc(n.ranked, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(mix(uint64(a.id)), mix(uint64(b.id))), cmp.Compare(a.name, b.name))
+	})
+}
+
+// Wanted returns the nodes that this one should have links to: the first coordinators,
+// and as many others as there are among them that down reports to be down.
+func (n *Node) Wanted(down func(vm string) bool) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var wanted []string
+	up := 0
+	for _, r := range n.ranked {
+		if up == maxCoordinators {
+			break
+		}
+		if r.name == n.self {
+			up++
+			continue
+		}
+		wanted = append(wanted, r.name)
+		if !down(r.name) {
+			up++
+		}
+	}
+	return wanted
+}
+
+// SetLinked tells which nodes messages can be sent to. The coordinators are the first of
+// them by rank; a node that reaches none is its own.
+func (n *Node) SetLinked(now time.Time, linked func(vm string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now = n.settle(now)
+	var list []ID
+	for _, r := range n.ranked {
+		if len(list) < maxCoordinators && (r.name == n.self || linked(r.name)) {
+			list = append(list, r.id)
+		}
+	}
+	n.promises.setList(now, list)
+}
+
+// renewal returns the time between two delegations to a coordinator, and valid how long
+// each lasts.
+func (n *Node) renewal() time.Duration {
+	return max(minRenewal, time.Duration(len(n.members))*renewalPerNode)
+}
+
+func (n *Node) valid() time.Duration { return validRenewals * n.renewal() }
+
+// Delegate returns the delegations that are due. A node that has started sends none for
+// as long as one of before its start may last, nor before it has read the records: it
+// may not know all nodes.
+func (n *Node) Delegate(now time.Time) []Delegating {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now = n.settle(now)
+	if now.Sub(n.started) < n.valid() || len(n.accounts) == 0 || n.confirmed.IsZero() {
+		return nil
+	}
+	n.promises.removeEnded(now)
+	lists, ok := n.promises.lists()
+	if !ok {
+		return nil
+	}
+	var due []Delegating
+	for _, id := range n.promises.list {
+		if sent, old := n.promises.sent[id]; old && now.Sub(sent) < n.renewal() {
+			continue
+		}
+		n.promises.sent[id] = now
+		n.promises.until = now.Add(n.valid())
+		d := Delegation{Valid: n.valid(), Nodes: len(n.members), Stale: now.Sub(n.confirmed) > confirmedFor, Lists: lists}
+		if id == n.id {
+			n.accept(now, id, d, 0)
+			continue
+		}
+		due = append(due, Delegating{To: n.names[id], Delegation: d})
+	}
+	return due
+}
+
+// HandleDelegation records a delegation that another node has sent. heldUp is the delay
+// of its message.
+func (n *Node) HandleDelegation(now time.Time, from string, d Delegation, heldUp time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.accept(n.settle(now), IDOf(from), d, heldUp)
+}
+
+func (n *Node) accept(now time.Time, from ID, d Delegation, heldUp time.Duration) {
+	until := now.Add(d.Valid - d.Valid/marginDivisor - heldUp)
+	if until.After(now) && n.received.put(from, until, d) {
+		n.updateShares(now)
+	}
+}
+
+// settle ends the delegations that have ended by now, after the tokens of the time up to
+// the end of each were created. It returns the time, which never goes back.
+func (n *Node) settle(now time.Time) time.Time {
+	for len(n.received.from) > 0 && !n.received.next.After(now) {
+		end := n.received.next
+		n.received.removeEnded(end)
+		n.updateShares(end)
+	}
+	n.latest = maxTime(n.latest, now)
+	return n.latest
+}
+
+// updateShares creates the tokens of the time up to now at the old shares and computes
+// the new ones.
+func (n *Node) updateShares(now time.Time) {
+	for _, a := range n.accounts {
+		a.pool.advance(now, a.share)
+		a.share = n.received.share(a.id)
+	}
+}
+
+// Admit decides whether a request of a workspace may be sent. counted says that the
+// request was decided before, with the verdict Unknown.
+func (n *Node) Admit(now time.Time, workspace string, counted bool) Decision {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	a := n.accounts[workspace]
+	if a == nil {
+		return Decision{Verdict: Admitted}
+	}
+	now = n.settle(now)
+	if !counted {
+		a.countDemand(now)
+	}
+	if a.spend(now) {
+		return n.refill(now, a)
+	}
+	if a.denied.After(now) {
+		return n.reject(now, a)
+	}
+	return n.ask(now, a, 1)
+}
+
+// Expired decides for a request whose question was not answered in time.
+func (n *Node) Expired(now time.Time, workspace string) Decision {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	a := n.accounts[workspace]
+	if a == nil {
+		return Decision{Verdict: Admitted}
+	}
+	now = n.settle(now)
+	a.denied = maxTime(a.denied, now.Add(n.renewal()))
+	return n.reject(now, a)
+}
+
+func (n *Node) reject(now time.Time, a *account) Decision {
+	a.lastRejected = now
+	a.rejected++
+	return Decision{Verdict: Rejected, RetryAfter: max(a.denied.Sub(now), 0)}
+}
+
+// refill asks for further tokens in advance if a node with the demand of this one is
+// soon without.
+func (n *Node) refill(now time.Time, a *account) Decision {
+	d := Decision{Verdict: Admitted}
+	if extra := a.extra(); 2*a.holding(now) >= extra || a.denied.After(now) {
+		return d
+	}
+	asked := n.ask(now, a, 0)
+	d.To, d.Ask = asked.To, asked.Ask
+	return d
+}
+
+// ask returns the question for tokens, if none is on its way, or the decision where this
+// node is the owner.
+func (n *Node) ask(now time.Time, a *account, needed int) Decision {
+	owner := ownerIn(n.promises.list, a.id)
+	if owner == n.id {
+		return n.decide(now, a, needed)
+	}
+	d := Decision{Verdict: Unknown}
+	if owner == 0 || a.asked && now.Sub(a.askedAt) < askTimeout {
+		a.waiting += needed
+		return d
+	}
+	a.asked, a.askedAt = true, now
+	d.To = n.names[owner]
+	d.Ask = Ask{Workspace: a.name, Needed: max(needed+a.waiting, 1), Extra: a.extra(), Sent: now.Sub(n.started)}
+	a.waiting = 0
+	return d
+}
+
+// decide is ask for a workspace that this node owns.
+func (n *Node) decide(now time.Time, a *account, needed int) Decision {
+	if needed == 0 {
+		return Decision{Verdict: Admitted}
+	}
+	g := n.grantTo(now, a, n.id, needed, 0)
+	if g.Granted > 0 {
+		return Decision{Verdict: Admitted}
+	}
+	a.denied = now.Add(g.RetryAfter)
+	return n.reject(now, a)
+}
+
+// HandleAsk answers a question. known is false if this node does not know the workspace,
+// or no limit of it.
+func (n *Node) HandleAsk(now time.Time, from string, ask Ask) (grant Grant, known bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	a := n.accounts[ask.Workspace]
+	if a == nil {
+		return Grant{}, false
+	}
+	grant = n.grantTo(n.settle(now), a, IDOf(from), min(ask.Needed, math.MaxInt32), min(ask.Extra, maxExtra))
+	grant.Sent = ask.Sent
+	return grant, true
+}
+
+func (n *Node) grantTo(now time.Time, a *account, to ID, needed, extra int) Grant {
+	a.pool.advance(now, a.share)
+	a.pool.note(now, to)
+	g := Grant{Workspace: a.name, Limit: a.terms.Limit, Granted: a.pool.grant(needed, extra)}
+	if g.Granted < needed {
+		g.RetryAfter = a.pool.retryAfter(a.share)
+	}
+	return g
+}
+
+// HandleGrant records an answer. The tokens expire by the time of the question, which
+// was before they were granted.
+func (n *Node) HandleGrant(now time.Time, g Grant) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	a := n.accounts[g.Workspace]
+	if a == nil {
+		return
+	}
+	now = n.settle(now)
+	sent := n.started.Add(g.Sent)
+	if sent.Equal(a.askedAt) {
+		a.asked = false
+	}
+	if g.RetryAfter > 0 {
+		a.denied = now.Add(g.RetryAfter)
+	}
+	if !a.terms.Limit.lower(g.Limit) { // granted by a limit that is not in force here any more
+		a.hold(heldTokens{g.Granted, sent.Add(a.terms.held)})
+	}
+}
+
+// Changes returns the workspaces that have reached their limit at this node since the
+// last call, and those of which no request was rejected for a window.
+func (n *Node) Changes(now time.Time) []Change {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now = n.settle(now)
+	var changes []Change
+	for _, a := range n.accounts {
+		limited := a.rejected > 0 && now.Sub(a.lastRejected) <= n.config.Window
+		if limited != a.limited {
+			changes = append(changes, Change{Workspace: a.name, Limited: limited, Rejected: a.rejected})
+		}
+		a.limited = limited
+		if !limited {
+			a.rejected = 0
+		}
+	}
+	return changes
+}
+
+func (a *account) countDemand(now time.Time) {
+	a.demand = a.demand*a.decay(now) + 1
+	a.demandAt = maxTime(a.demandAt, now)
+}
+
+func (a *account) decay(now time.Time) float64 {
+	return math.Exp(-max(now.Sub(a.demandAt), 0).Seconds() / demandPeriod.Seconds())
+}
+
+// extra returns the tokens that the node would like to hold: those of its demand in half
+// of the time for which it may hold them, but at most half a demandPeriod. A single
+// request is no demand: if each node held tokens for the next one, a small workspace
+// would have none left where they are needed.
+func (a *account) extra() int {
+	rate := min(max(a.demand-1, 0)/demandPeriod.Seconds(), a.terms.Rate)
+	return min(int(rate*min(a.terms.held, demandPeriod).Seconds()/2), maxExtra)
+}
+
+// spend takes the token that expires first and reports whether there was one.
+func (a *account) spend(now time.Time) bool {
+	best := -1
+	for i, h := range a.held {
+		if h.count > 0 && h.until.After(now) && (best < 0 || h.until.Before(a.held[best].until)) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	a.held[best].count--
+	return true
+}
+
+func (a *account) holding(now time.Time) int {
+	sum := 0
+	for _, h := range a.held {
+		if h.until.After(now) {
+			sum += h.count
+		}
+	}
+	return sum
+}
+
+// hold stores granted tokens in place of those that expire first.
+func (a *account) hold(h heldTokens) {
+	oldest := 0
+	for i, other := range a.held {
+		if other.count == 0 {
+			oldest = i
+			break
+		}
+		if other.until.Before(a.held[oldest].until) {
+			oldest = i
+		}
+	}
+	if h.count > 0 {
+		a.held[oldest] = h
+	}
+}
