sidecar: enforce the limits of workspaces over all nodes

Limits were read from the configuration and had no effect. Clients' requests, and each retry that has reached an upstream, spend a token of their workspace; delegations, questions and grants ride on control frames. Without a [quotas] window or a workspace with a limit nothing changes.

--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -223,6 +223,10 @@
 		Vouch:          f.Vouch,
 		OrderRecords:   f.OrderRecords,
 		CrashReports:   f.CrashReports,
+
+		QuotaDelegation: f.QuotaDelegation,
+		QuotaAsks:       f.QuotaAsks,
+		QuotaGrants:     f.QuotaGrants,
 	}
 }
 
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -21,6 +21,7 @@
 	// of two. marginDivisor gives the part of it by which the owner ends it early, which
 	// covers the latency of the network and the drift of clocks.
 	validRenewals = 3
+	maxValid      = 10 * time.Minute
 	marginDivisor = 10
 	// retainFor is how long a node that is no longer known still counts as alive. A node
 	// whose record was removed by mistake writes it again in that time.
@@ -347,12 +348,26 @@
 }
 
 func (n *Node) accept(now time.Time, from ID, d Delegation, heldUp time.Duration) {
+	if d.Nodes <= 0 || d.Valid > maxValid || len(d.Lists) > maxFormer+1 {
+		return // not sent by this version
+	}
 	until := now.Add(d.Valid - d.Valid/marginDivisor - heldUp)
 	if until.After(now) && n.received.put(from, until, d) {
 		n.updateShares(now)
 	}
 }
 
+// settledAfter is how long a node that has started waits for tokens beyond the time at
+// which all nodes have delegated their shares, if all have started with it.
+const settledAfter = time.Second
+
+// Settled reports whether there are tokens even if all nodes have started with this one.
+func (n *Node) Settled(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.accounts) == 0 || now.Sub(n.started) >= n.valid()+settledAfter
+}
+
 // settle ends the delegations that have ended by now, after the tokens of the time up to
 // the end of each were created. It returns the time, which never goes back.
 func (n *Node) settle(now time.Time) time.Time {
@@ -455,6 +470,9 @@
 	if g.Granted > 0 {
 		return Decision{Verdict: Admitted}
 	}
+	if now.Sub(n.started) < n.valid() { // links to the owner may not be up yet
+		return Decision{Verdict: Unknown}
+	}
 	a.denied = now.Add(g.RetryAfter)
 	return n.reject(now, a)
 }
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -84,7 +84,7 @@
 
 // forward sends a call to an upstream of its service. A client's request below
 // the threshold of its call tree is shed here, before it costs anything
-// downstream.
+// downstream, and one over the limit of its workspace is rejected.
 func (n *Node) forward(ctx context.Context, c *call) *linkpb.CallReply {
 	now := time.Now()
 	if !c.inner {
@@ -99,6 +99,9 @@
 	}
 	ctx, cancel := n.requestContext(ctx, c.deadline)
 	defer cancel()
+	if reply := n.quotas.check(ctx, c); reply != nil {
+		return reply
+	}
 	n.pressure.Sent(now, c.service, c.route.Name)
 	reply := n.send(ctx, c)
 	n.pressure.Settled(time.Now(), c.service, c.route.Name)
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -244,6 +244,7 @@
 			return false
 		}
 		if n.table.CompareAndSwap(old, next) {
+			n.quotas.update()
 			return true
 		}
 	}
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -27,11 +27,13 @@
 	rc.SetStatusCode(fasthttp.StatusOK)
 }
 
-// isReady reports whether the node has a configuration, has read the other
-// nodes' records or waited long enough for them, and is not shutting down.
+// isReady reports whether the node has a configuration, has read the other nodes'
+// records and can admit requests of workspaces with a limit, or waited long enough for
+// both, and is not shutting down.
 func (n *Node) isReady() bool {
 	found := n.listed.Load() || time.Since(n.started) > readyAfter
-	return n.table.Load() != nil && found && !n.stopping.Load()
+	settled := n.quotas.settled() || time.Since(n.started) > readyAfter
+	return n.table.Load() != nil && found && settled && !n.stopping.Load()
 }
 
 // serveHeartbeat handles heartbeats and deregistrations of the upstream beside
--- a/internal/sidecar/links.go
+++ b/internal/sidecar/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"heathershed/internal/fleet"
@@ -31,6 +32,13 @@
 	}
 }
 
+// relink makes refreshWanted recompute the wanted links.
+func (p *peers) relink() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.changed = true
+}
+
 // refreshWanted recomputes the wanted links, unless no node and no link has
 // changed and all links are up. While a link is down, the result also depends
 // on how long it has been.
@@ -43,7 +51,8 @@
 	}
 }
 
-// updateWanted requests links to a subset of the known nodes.
+// updateWanted requests links to a subset of the known nodes, and to the coordinators of
+// quotas.
 func (p *peers) updateWanted() {
 	now := time.Now()
 	p.mu.Lock()
@@ -53,6 +62,11 @@
 	for _, vm := range fleet.Subset(p.n.cfg.VM, p.n.cfg.Datacentre, p.candidates(now)) {
 		wanted[vm] = true
 	}
+	for _, vm := range p.n.quotas.wanted(slices.Collect(maps.Keys(p.members)), func(vm string) bool { return p.downLong(now, vm) }) {
+		if p.members[vm] != nil { // forgotten nodes count for a while
+			wanted[vm] = true
+		}
+	}
 	p.retainUp(now, wanted)
 	p.updateDown(now, wanted)
 	targets := make([]link.Target, 0, len(wanted))
@@ -81,17 +95,23 @@
 func (p *peers) candidates(now time.Time) []fleet.Candidate {
 	all := make([]fleet.Candidate, 0, len(p.members))
 	for vm, m := range p.members {
-		since, down := p.down[vm]
 		all = append(all, fleet.Candidate{
 			VM:         vm,
 			Service:    m.Service,
 			Datacentre: m.Datacentre,
-			Down:       down && now.Sub(since) > replaceAfter,
+			Down:       p.downLong(now, vm),
 		})
 	}
 	return all
 }
 
+// downLong reports whether another link is added for that to a node: it has been down for
+// long, or the node is not known any more. The caller holds the lock.
+func (p *peers) downLong(now time.Time, vm string) bool {
+	since, down := p.down[vm]
+	return p.members[vm] == nil || down && now.Sub(since) > replaceAfter
+}
+
 // retainUp adds to wanted those current links that are up, unless wanted is
 // covered. A link that is no longer wanted is therefore dropped only once each
 // wanted link is up, or has been down for so long that another one was added
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -40,6 +40,8 @@
 	store         map[storeOutcome]tally.Counter
 	pulls         tally.Counter
 	unserved      tally.Counter
+	quota         [numQuotaOutcomes]tally.Counter
+	quotaAsks     tally.Counter
 
 	inFlight, waiting, slots, usable, loss, threshold, demand, version, age, upstreams, limited, limit tally.Gauge
 }
@@ -62,6 +64,7 @@
 		store:         make(map[storeOutcome]tally.Counter),
 		pulls:         scope.Counter("members_pulled"),
 		unserved:      scope.Counter("services_without_upstream"),
+		quotaAsks:     scope.Counter("quota_questions"),
 		inFlight:      scope.Gauge("door_in_flight"),
 		waiting:       scope.Gauge("door_waiting"),
 		slots:         scope.Gauge("door_slots"),
@@ -80,6 +83,9 @@
 		m.rejected[r] = byReason.Counter("door_refused")
 		m.nestedFailed[r] = byReason.Counter("nested_calls_failed")
 	}
+	for o, name := range quotaOutcomeNames {
+		m.quota[o] = scope.Tagged(map[string]string{"outcome": name}).Counter("quota_decisions")
+	}
 	for end, name := range clientEndNames {
 		m.clients[end] = scope.Tagged(map[string]string{"end": name}).Counter("client_requests")
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -110,6 +110,7 @@
 	onProbation atomic.Bool
 	metrics     *metrics
 	peers       *peers
+	quotas      *quotas
 
 	ingress       *ingress.Server
 	ready         *fasthttp.Server
@@ -189,6 +190,7 @@
 	n.requestsCtx, n.cancelRequests = context.WithCancel(context.Background())
 	n.target = newTarget(n)
 	n.peers = newPeers(n)
+	n.quotas = newQuotas(n, cfg)
 	n.ingress = ingress.NewWithOptions(ingress.Options{HeaderBytes: maxHeaderBytes, IdleTimeout: clientIdleTimeout, Log: connLog{log}}, n.serveClient)
 	n.ready = newPlatformServer(n.serveReady, log)
 	n.heartbeats = newPlatformServer(n.serveHeartbeat, log)
@@ -241,6 +243,7 @@
 	group.Go(func() error { return n.runRecord(running) })
 	group.Go(func() error { return n.runHealthChecks(running) })
 	group.Go(func() error { return n.runMembers(running) })
+	group.Go(func() error { return n.quotas.run(running) })
 	group.Go(func() error { return n.runUnserved(running) })
 	group.Go(func() error { return n.upstream.RunIdle(running) })
 	done := make(chan error, 1)
@@ -255,8 +258,9 @@
 	return cause
 }
 
-// Apply activates the settings that can change at run time: the retry budget,
-// the grace period of a shutdown and the time to apply a configuration. Names
+// Apply activates the settings that can change at run time: the retry budget, the
+// tolerance of quotas, the grace period of a shutdown and the time to apply a
+// configuration. Names
 // and addresses apply only after a restart.
 func (n *Node) Apply(cfg *settings.Sidecar) {
 	n.budget.setBound(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow)
@@ -264,6 +268,7 @@
 	n.applyWithin.Store(int64(cfg.ApplyWithin))
 	n.revokeWithin.Store(revocationBound(cfg.StrictRevoke, cfg.RevokeWithin))
 	n.freshness.SetLimit(freshnessLimit(cfg.ApplyWithin))
+	n.quotas.setConfig(cfg)
 	n.log.Info("reload", "apply_within_ms", cfg.ApplyWithin.Milliseconds(),
 		"retry_ratio", cfg.RetryRatio, "retry_slack", cfg.RetrySlack,
 		"retry_window_ms", cfg.RetryWindow.Milliseconds(), "grace_ms", cfg.Grace.Milliseconds())
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -230,6 +230,7 @@
 		n.peers.sessions[s] = 0
 	}
 	n.peers.mu.Unlock()
+	n.quotas.linksChanged()
 	n.reportsDue.Send()
 	vm := s.Peer().VM
 	if s.Dialled() {
@@ -246,6 +247,7 @@
 	delete(n.peers.sessions, s)
 	n.peers.known.puller.Closed(s.Peer().VM)
 	n.peers.mu.Unlock()
+	n.quotas.linksChanged()
 	if s.Dialled() {
 		n.peers.updateLink(s.Peer().VM)
 	}
@@ -299,6 +301,7 @@
 	n.recall(f.Notice)
 	n.remind(s, f)
 	n.mergeCrashReports(f.CrashReports...)
+	n.quotas.handle(s, f)
 	for _, d := range f.Documents {
 		if d.Name == documentRoutes {
 			n.adoptFromLink(f.Vm, d.Value)
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	linkpb "heathershed/api/link"
+	"heathershed/internal/bootclock"
 	store "heathershed/internal/platform"
 	"heathershed/internal/vm/instance"
 	"heathershed/internal/wait"
@@ -233,6 +234,7 @@
 
 // syncAll merges all records and reports whether they could be read.
 func (d *recordTask) syncAll(ctx context.Context) bool {
+	began := bootclock.Now()
 	objects, err := d.listObjects(ctx, false)
 	if err != nil {
 		return false
@@ -244,6 +246,7 @@
 		}
 	}
 	d.merge(objects)
+	d.n.quotas.recordsRead(began)
 	return true
 }
 
@@ -251,6 +254,7 @@
 // writes the local record again if it is missing, and removes the records of
 // nodes that are gone.
 func (d *recordTask) reconcile(ctx context.Context) {
+	began := bootclock.Now()
 	objects, err := d.listObjects(ctx, true)
 	if err != nil {
 		return
@@ -264,6 +268,9 @@
 		}
 	}
 	d.forgetGone(present)
+	if present[d.n.cfg.VM] || d.revision == 0 {
+		d.n.quotas.recordsRead(began)
+	}
 	if !present[d.n.cfg.VM] && d.revision > 0 {
 		d.refreshStored(ctx, store.ErrUnknown) // the list may be stale
 		d.write(ctx)
