--- a/internal/quota/property_test.go
+++ b/internal/quota/property_test.go
@@ -10,11 +10,14 @@
 	"github.com/leanovate/gopter/prop"
 )
 
+// propertyRuns is the number of generated histories.
+const propertyRuns = 80
+
 // fault applies one random fault, or ends some.
 func (s *sim) fault() {
 	i := s.rand.IntN(len(s.nodes))
 	n := s.nodes[i]
-	switch s.rand.IntN(12) {
+	switch s.rand.IntN(14) {
 	case 0, 1: // partition
 		groups := 2 + s.rand.IntN(3)
 		for _, n := range s.nodes {
@@ -51,6 +54,10 @@
 		}
 	case 11: // demand moves to a part of the nodes
 		s.demand(s.rand.Float64()*8*s.limit.Rate/float64(i+1), i+1)
+	case 12:
+		s.demand(0, 0)
+	case 13: // all at once, after tokens were saved
+		s.demand(20*s.limit.Rate/float64(len(s.nodes)), len(s.nodes))
 	}
 }
 
@@ -75,7 +82,7 @@
 // delayed, partitioned, suspended or restarted.
 func TestNoWindowExceedsTheLimitUnderFaults(t *testing.T) {
 	parameters := gopter.DefaultTestParameters()
-	parameters.MinSuccessfulTests = 80
+	parameters.MinSuccessfulTests = propertyRuns
 	properties := gopter.NewProperties(parameters)
 	// Not shrunk: each case takes a good part of a second.
 	properties.Property("the sum over all nodes is within the formula", prop.ForAllNoShrink(
