--- a/internal/quota/delegations.go
+++ b/internal/quota/delegations.go
@@ -188,8 +188,10 @@
 	// by it.
 	list  []ID
 	until time.Time
-	// former holds earlier lists whose promises have not ended.
+	// former holds earlier lists whose promises have not ended, the oldest first. ended is
+	// the one whose promises have ended last.
 	former []promised
+	ended  promised
 	// sent holds what was sent to each coordinator.
 	sent map[ID]sending
 }
@@ -239,7 +241,11 @@
 			p.until = maxTime(p.until, f.until)
 			return true
 		}
-		return !f.until.After(now)
+		if f.until.After(now) {
+			return false
+		}
+		p.ended = f
+		return true
 	})
 }
 
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -152,6 +152,8 @@
 	confirmed time.Time
 	received  received
 	promises  promises
+	// linked holds the nodes that messages can be sent to.
+	linked map[ID]bool
 }
 
 type ranked struct {
@@ -296,11 +298,11 @@
 	defer n.mu.Unlock()
 	now = n.settle(now)
 	var list []ID
+	n.linked = make(map[ID]bool, len(n.ranked))
 	for _, r := range n.ranked {
-		if len(list) == n.coordinators() {
-			break
-		}
-		if r.name == n.self || linked(r.name) {
+		usable := r.name == n.self || linked(r.name)
+		n.linked[r.id] = usable
+		if usable && len(list) < n.coordinators() {
 			list = append(list, r.id)
 		}
 	}
@@ -461,7 +463,7 @@
 // ask returns the question for tokens, if none is on its way, or the decision where this
 // node is the owner.
 func (n *Node) ask(now time.Time, a *account, needed int) Decision {
-	owner := ownerIn(n.promises.list, a.id)
+	owner := n.ownerToAsk(now, a)
 	if owner == n.id {
 		return n.decide(now, a, needed)
 	}
@@ -477,6 +479,25 @@
 	return d
 }
 
+// maxLinger bounds how long a node asks an earlier owner after its promises have ended.
+const maxLinger = time.Second
+
+// ownerToAsk returns the owner of a workspace, or 0 if there is none. Where another one
+// takes it over, that is the earlier one for as long as the promise to it lasts, and for
+// half of the life of the tokens that it has: the next one has none at first.
+func (n *Node) ownerToAsk(now time.Time, a *account) ID {
+	earlier := n.promises.ended
+	if len(n.promises.former) > 0 {
+		earlier = n.promises.former[0]
+	}
+	if now.Before(earlier.until.Add(min(a.terms.pooled/2, maxLinger))) {
+		if owner := ownerIn(earlier.list, a.id); n.linked[owner] {
+			return owner
+		}
+	}
+	return ownerIn(n.promises.list, a.id)
+}
+
 // decide is ask for a workspace that this node owns.
 func (n *Node) decide(now time.Time, a *account, needed int) Decision {
 	if needed == 0 {
--- a/internal/quota/property_test.go
+++ b/internal/quota/property_test.go
@@ -188,3 +188,33 @@
 		t.Errorf("got %d requests rejected and %d admitted, want none and about 1450", s.rejected, len(s.spent))
 	}
 }
+
+// Guards against requests of a small workspace that are rejected while another node takes
+// it over from its owner, which is in contact.
+func TestOwnerIsReplacedWithoutRejections(t *testing.T) {
+	testReplacedOwner(t, Limit{5, 8})
+}
+
+// Guards against the same for a large workspace, whose tokens have short lives.
+func TestOwnerOfLargeWorkspaceIsReplacedWithoutRejections(t *testing.T) {
+	testReplacedOwner(t, Limit{300, 0})
+}
+
+func testReplacedOwner(t *testing.T, limit Limit) {
+	t.Helper()
+	s := newSim(1, 30, testConfig, limit)
+	s.demand(limit.Rate/1.6/30, 30)
+	s.run(5 * time.Second)
+	owner := s.index[ownerOf(s.nodes[0].node)]
+	s.nodes[owner].down = true
+	s.run(15 * time.Second)
+	s.forget()
+	s.restart(owner)
+	s.run(15 * time.Second)
+	if back := s.index[ownerOf(s.nodes[(owner+1)%30].node)]; back != owner {
+		t.Fatalf("got node %d as the owner, want %d again", back, owner)
+	}
+	if s.rejected > 0 {
+		t.Errorf("%d of %d requests rejected while the owner changed, want none", s.rejected, s.rejected+len(s.spent))
+	}
+}
