--- a/internal/quota/delegations.go
+++ b/internal/quota/delegations.go
@@ -82,14 +82,42 @@
 type delegated struct {
 	until time.Time
 	group uint64
+	// next takes its place at its end; nil if there is none.
+	next *pending
+}
+
+type pending struct {
+	Delegation
+	until time.Time
 }
 
 // put stores a delegation, and reports whether it covers other workspaces than the one
-// that it replaces. One that names an unknown list is not stored.
+// that it replaces. One that names an unknown list is not stored. One that adds lists
+// covers less; the one before it holds to its end, as the sender has promised.
 func (r *received) put(from ID, until time.Time, d Delegation) (changed bool) {
 	for _, list := range d.Content {
 		r.learn(list)
 	}
+	if old, known := r.from[from]; known && r.adds(d, old.group) {
+		old.next = &pending{d, until}
+		r.from[from] = old
+		return false
+	}
+	return r.replace(from, until, d)
+}
+
+// adds reports whether a delegation names all lists of a group, and others.
+func (r *received) adds(d Delegation, key uint64) bool {
+	g := r.groups[key]
+	for _, id := range g.Lists {
+		if !slices.Contains(d.Lists, id) {
+			return false
+		}
+	}
+	return len(d.Lists) > len(g.Lists)
+}
+
+func (r *received) replace(from ID, until time.Time, d Delegation) (changed bool) {
 	key := keyOf(d)
 	if r.groups[key] == nil {
 		lists, known := r.resolve(d)
@@ -122,16 +150,25 @@
 
 // removeEnded removes the delegations that have ended.
 func (r *received) removeEnded(now time.Time) {
-	r.next = now.Add(maxSeconds * time.Second)
+	var follow []ID
+	var pendings []*pending
+	next := now.Add(maxSeconds * time.Second)
 	for id, d := range r.from {
 		switch {
 		case !d.until.After(now):
 			r.leave(d.group)
 			delete(r.from, id)
-		case d.until.Before(r.next):
-			r.next = d.until
+			if d.next != nil && d.next.until.After(now) {
+				follow, pendings = append(follow, id), append(pendings, d.next)
+			}
+		case d.until.Before(next):
+			next = d.until
 		}
 	}
+	r.next = next
+	for i, id := range follow {
+		r.replace(id, pendings[i].until, pendings[i].Delegation)
+	}
 }
 
 // share returns the part of the rate of a workspace that was delegated.
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -495,7 +495,13 @@
 			return owner
 		}
 	}
-	return ownerIn(n.promises.list, a.id)
+	owner := ownerIn(n.promises.list, a.id)
+	if owner == n.id && len(n.promises.list) > 1 && now.Sub(n.started) < 2*n.valid()+maxLinger && a.stock(now) < 1 {
+		// This node has started; the others may still ask the one that is next.
+		others := slices.DeleteFunc(slices.Clone(n.promises.list), func(id ID) bool { return id == n.id })
+		owner = ownerIn(others, a.id)
+	}
+	return owner
 }
 
 // decide is ask for a workspace that this node owns.
@@ -580,6 +586,12 @@
 	return changes
 }
 
+// stock returns the tokens that this node may grant.
+func (a *account) stock(now time.Time) float64 {
+	a.pool.advance(now, a.share)
+	return a.pool.total()
+}
+
 func (a *account) countDemand(now time.Time) {
 	a.demand = a.demand*a.decay(now) + 1
 	a.demandAt = maxTime(a.demandAt, now)
--- a/internal/quota/node_test.go
+++ b/internal/quota/node_test.go
@@ -60,6 +60,27 @@
 	}
 }
 
+// Guards against an owner that loses a share before the promise has ended because the
+// sender has other coordinators by now, and against one that keeps it after that.
+func TestDelegationHoldsWhileCoordinatorsChange(t *testing.T) {
+	self := ownerOf(testNode("vm-0", 10, Limit{1000, 0}))
+	n := testNode(self, 10, Limit{1000, 0})
+	d := testDelegation(n, time.Second, 1)
+	n.HandleDelegation(start, "vm-3", d, 0)
+	other := []ID{IDOf("elsewhere")}
+	moved := Delegation{Valid: time.Second, Nodes: 1, Lists: []ListID{listID(other), d.Lists[0]}, Content: [][]ID{other}}
+	at := start.Add(500 * time.Millisecond)
+	n.HandleDelegation(at, "vm-3", moved, 0)
+	pooled(n, at)
+	if got := pooled(n, at.Add(100*time.Millisecond)); got < 90 {
+		t.Errorf("0.1 s at 1,000 a second: got %d tokens, want about 100", got)
+	}
+	pooled(n, start.Add(time.Second))
+	if got := pooled(n, start.Add(1100*time.Millisecond)); got > 0 {
+		t.Errorf("after the promise has ended: got %d tokens, want none", got)
+	}
+}
+
 // Guards against a delayed delegation that the owner uses after the promise has ended.
 func TestDelayOfADelegationShortensIt(t *testing.T) {
 	n := testNode(ownerOf(testNode("vm-0", 10, Limit{100, 0})), 10, Limit{100, 0})
