Fair shares: ranks that limit all workspaces to the same rate

Cause: the rank of a request within its class was a hash of its attempt id, so a workspace at ten times its usual demand took ten times the slots, from workspaces that stayed within their share.

Change: the ingress ranks the requests of a workspace by the quantile of their position in its demand (internal/fairshare), so that the existing thresholds are max-min over the workspaces. In the queue beside the upstream a request below the threshold starts after those above it in the same rank order, and a full queue evicts the lowest level. Rejections say that the workspace has its share. Requests without a workspace keep the hash and their order.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	linkpb "heathershed/api/link"
@@ -48,6 +47,9 @@
 	// level is the priority level of the root request, and admitted the
 	// threshold that it met at the ingress.
 	level, admitted contract.Level
+	// shared says that the rank within the level follows from the share of the
+	// workspace.
+	shared bool
 	// workspace is the one that the root request belongs to; nil if it has none.
 	workspace *workspace.Workspace
 	received  time.Time
@@ -91,7 +93,8 @@
 		c.admitted = n.pressure.Threshold(now, c.service, c.route.Name)
 		if c.level < c.admitted {
 			n.logShed(c, c.admitted)
-			return outcome.NotRunReply(contract.ReasonOverload, "shed at the front")
+			n.metrics.countBeyondShare(c.shared)
+			return outcome.NotRunReply(contract.ReasonOverload, overloadDetail("shed at the front", c.workspaceName(), c.shared))
 		}
 	}
 	if reply := n.rejectCrashing(c); reply != nil {
@@ -201,7 +204,7 @@
 		c.parentKind, c.parentID = origin.Parent.Kind, origin.Parent.ID
 		c.level, c.admitted = origin.Parent.Level, origin.Parent.Admitted
 	} else {
-		c.level = levelOf(rankOf(c.route, c.workspace), c.attempt)
+		n.setLevel(now, c)
 	}
 	if t := c.route.Timeout; t > 0 && now.Add(t).Before(c.deadline) {
 		c.deadline = now.Add(t)
@@ -209,14 +212,6 @@
 	return nil
 }
 
-// levelOf returns the priority level of a client's request. The class follows
-// from the priority of the route, and the rank within it from a hash of the
-// attempt id, so that every hop computes the same level.
-func levelOf(rank int, attempt string) contract.Level {
-	class := max(contract.NumClasses-1-max(rank, 0), 0)
-	return contract.LevelOf(contract.Class(class), uint16(xxhash.Sum64String(attempt)%contract.RanksPerClass))
-}
-
 // writeReply writes the reply of a call to its client. Clients take some
 // statuses as a promise that the request has not run and send it again. If an
 // order ran and the upstream answered with such a status, the client gets 502
--- a/internal/sidecar/logs.go
+++ b/internal/sidecar/logs.go
@@ -98,7 +98,7 @@
 		return
 	}
 	n.log.Info(message, "id", c.attempt, "route", c.route.Name, "service", c.service,
-		"level", c.level, "threshold", threshold)
+		"workspace", c.workspaceName(), "level", c.level, "threshold", threshold)
 }
 
 const (
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -33,6 +33,7 @@
 	calls         *telemetry.Calls
 	rejected      [contract.NumReasons]tally.Counter
 	retries       tally.Counter
+	beyondShare   tally.Counter
 	clients       [numClientEnds]tally.Counter
 	nestedFailed  [contract.NumReasons]tally.Counter
 	wait          tally.Histogram
@@ -59,6 +60,7 @@
 		scrapeHandler: handler,
 		calls:         telemetry.NewCalls(scope, "requests_ended", "request_seconds", buckets),
 		retries:       scope.Counter("requests_repeated"),
+		beyondShare:   scope.Counter("requests_beyond_share"),
 		wait:          telemetry.NewDurationHistogram(scope, "door_wait_seconds", buckets),
 		service:       telemetry.NewDurationHistogram(scope, "upstream_seconds", buckets),
 		store:         make(map[storeOutcome]tally.Counter),
@@ -158,6 +160,14 @@
 // countRejected counts a request that the scheduler rejected.
 func (m *metrics) countRejected(r contract.Reason) { m.rejected[r].Inc(1) }
 
+// countBeyondShare counts a request that was rejected because its workspace has its
+// share.
+func (m *metrics) countBeyondShare(beyond bool) {
+	if beyond {
+		m.beyondShare.Inc(1)
+	}
+}
+
 // observeStoreCall counts a call to the object API.
 func (m *metrics) observeStoreCall(call string, err error) {
 	if c := m.store[storeOutcome{call, err != nil}]; c != nil {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -101,6 +101,7 @@
 	correlation  *correlation.Tracker
 	callers      *callers.Tracker
 	pressure     *pressure.Table
+	shares       shares
 	budget       *budget
 	losses       losses.Tracker // of the local upstream
 	lostRuns     lostRuns
--- a/internal/sidecar/notice.go
+++ b/internal/sidecar/notice.go
@@ -12,6 +12,7 @@
 	"heathershed/internal/link"
 	"heathershed/internal/upstream"
 	"heathershed/internal/vm/instance"
+	"heathershed/internal/vm/scheduler"
 	"heathershed/platform"
 )
 
@@ -109,10 +110,10 @@
 
 // refusalDetail says what the scheduler lacked for a request: for a limit its
 // value and how long ago the upstream named it last.
-func (n *Node) refusalDetail(reason contract.Reason) string {
+func (n *Node) refusalDetail(refusal *scheduler.Refusal, workspace string) string {
 	state := n.target.state()
-	if reason != contract.ReasonUpstreamLimit || !state.Notice.Limited {
-		return "no room"
+	if refusal.Reason != contract.ReasonUpstreamLimit || !state.Notice.Limited {
+		return overloadDetail("no room", workspace, lacksShare(refusal))
 	}
 	return fmt.Sprintf("limit of %s a second, named %d ms ago", limitText(state.Notice), age(state.LimitAt).Milliseconds())
 }
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -60,7 +60,8 @@
 	permit, refusal := n.sched.Acquire(ctx, now, r)
 	if refusal != nil {
 		n.metrics.countRejected(refusal.Reason)
-		return outcome.RetryAfterReply(refusal.RetryAfter, refusal.Reason, n.refusalDetail(refusal.Reason))
+		n.metrics.countBeyondShare(lacksShare(refusal))
+		return outcome.RetryAfterReply(refusal.RetryAfter, refusal.Reason, n.refusalDetail(refusal, req.Workspace))
 	}
 	started := time.Now()
 	reply := n.run(ctx, req, deadline, alone)
@@ -86,6 +87,7 @@
 		Deadline:   deadline,
 		Idempotent: req.Idempotent,
 		Nested:     req.Inner,
+		Shared:     req.Workspace != "",
 	}
 	// A sender that does not know of a limit may know an upstream without one.
 	r.NoWait = req.NoWait || !req.Notice.GetLimited()
--- a/internal/vm/scheduler/calltree_test.go
+++ b/internal/vm/scheduler/calltree_test.go
@@ -64,6 +64,7 @@
 	parentKind string
 	level      contract.Level
 	admitted   contract.Level // threshold that the root request met
+	workspace  string         // empty where the layout has none
 	deadline   time.Time
 	tried      []string
 	ended      func(ok bool)
@@ -248,7 +249,7 @@
 
 // request returns a call as the scheduler sees it.
 func (s *treeSim) request(c *treeCall) Request {
-	r := Request{Kind: c.kind.name, Level: c.level, Admitted: c.admitted, Rank: 2 * (contract.NumClasses - int(c.level.Class())), Deadline: c.deadline, Idempotent: c.kind != s.layout.order, Nested: c.inner(), MakesCalls: len(c.kind.calls) > 0}
+	r := Request{Kind: c.kind.name, Level: c.level, Admitted: c.admitted, Rank: 2 * (contract.NumClasses - int(c.level.Class())), Deadline: c.deadline, Idempotent: c.kind != s.layout.order, Nested: c.inner(), MakesCalls: len(c.kind.calls) > 0, Shared: c.workspace != ""}
 	if c.inner() {
 		r.Rank--
 	}
@@ -306,7 +307,7 @@
 	if float64(n.c.inFlight) > treeKnee*float64(n.c.slots) {
 		part = time.Duration(float64(part) * n.knee)
 	}
-	number := n.calls.Begin(correlation.Parent{ID: c.id, Kind: c.kind.name, Level: c.level, Admitted: c.admitted, Deadline: c.deadline.Truncate(time.Millisecond)})
+	number := n.calls.Begin(correlation.Parent{ID: c.id, Kind: c.kind.name, Level: c.level, Admitted: c.admitted, Workspace: c.workspace, Deadline: c.deadline.Truncate(time.Millisecond)})
 	end := func(ok bool) {
 		n.calls.End(number)
 		n.c.release(s.now, e, true)
@@ -343,7 +344,7 @@
 		deadline = parent.deadline
 	}
 	found := n.calls.Find(s.now, k.name, deadline.Sub(s.now).Truncate(time.Millisecond)).Parent
-	s.send(n, &treeCall{kind: k, parentKind: found.Kind, level: found.Level, admitted: found.Admitted, deadline: deadline, ended: ended})
+	s.send(n, &treeCall{kind: k, parentKind: found.Kind, level: found.Level, admitted: found.Admitted, workspace: found.Workspace, deadline: deadline, ended: ended})
 }
 
 // treeResult is what became of the lookups of one simulation, as shares of what
--- a/internal/vm/scheduler/controller.go
+++ b/internal/vm/scheduler/controller.go
@@ -13,6 +13,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"heathershed/internal/contract"
@@ -35,6 +37,9 @@
 	// Nested marks a call of another upstream, and MakesCalls requests of a kind
 	// that is known to make nested calls: both are part of a call tree.
 	Nested, MakesCalls bool
+	// Shared says that the rank within Level follows from the share of the request's
+	// workspace.
+	Shared bool
 	// NoWait requests are rejected where they would wait for the limit that
 	// the upstream names: another upstream has none.
 	NoWait bool
@@ -48,6 +53,8 @@
 	Reason contract.Reason
 	// RetryAfter is the expected time until a slot is free.
 	RetryAfter time.Duration
+	// BeyondShare says that the request is beyond the share of its workspace.
+	BeyondShare bool
 }
 
 // Load is a snapshot of a Scheduler.
@@ -87,6 +94,9 @@
 	state state
 	// since is when the request arrived or, once it runs, when it was started.
 	since time.Time
+	// beyondShare says that the request is beyond the share of its workspace: its
+	// level was below the threshold when it arrived.
+	beyondShare bool
 	// number is how many requests ran once it was started, itself included.
 	number int
 	// decision receives one value if the request had to wait: nil when it is
@@ -156,13 +166,15 @@
 		c.pacer.offered(now, queued, r.Level)
 	}
 	e := &entry{Request: r, since: now}
+	e.beyondShare = r.Shared && r.Level < c.threshold(now)
 	if c.inFlight < c.usable(now) && len(c.queue) == 0 && c.pacer.ready(now) {
 		c.start(now, e)
 		return e, nil
 	}
 	wait := c.expectedWait(now, e)
-	if len(c.queue) >= maxWaiting || now.Add(wait+c.latencies.expected(r.Kind)).After(r.Deadline) {
-		return nil, &Refusal{Reason: c.lacking(now), RetryAfter: wait}
+	late := now.Add(wait + c.latencies.expected(r.Kind)).After(r.Deadline)
+	if late || len(c.queue) >= maxWaiting && !c.evictFor(now, e) {
+		return nil, e.refusal(c.lacking(now), wait)
 	}
 	e.decision = make(chan *Refusal, 1)
 	c.insert(e)
@@ -178,17 +190,38 @@
 	return contract.ReasonOverload
 }
 
-// before reports whether e is started before a waiting other: by rank, then by
-// deadline. A call tree that is nearly complete is the first to end.
+// refusal returns the rejection of the request.
+func (e *entry) refusal(reason contract.Reason, retryAfter time.Duration) *Refusal {
+	return &Refusal{Reason: reason, RetryAfter: retryAfter, BeyondShare: e.beyondShare}
+}
+
+// evictFor makes room in a full queue for a request with a share: it rejects the
+// waiting request of the lowest level. It reports false if none is below that of e.
+func (c *controller) evictFor(now time.Time, e *entry) bool {
+	lowest := slices.MinFunc(c.queue, func(a, b *entry) int { return cmp.Compare(a.Level, b.Level) })
+	if !e.Shared || lowest.Level >= e.Level {
+		return false
+	}
+	retryAfter := c.expectedWait(now, lowest)
+	c.withdraw(lowest)
+	lowest.decision <- lowest.refusal(contract.ReasonOverload, retryAfter)
+	return true
+}
+
+// before reports whether e is started before a waiting other: by rank, then within
+// the share of its workspace before beyond it, then by deadline. A call tree that is
+// nearly complete is the first to end.
 func (e *entry) before(other *entry) bool {
 	if e.Rank != other.Rank {
 		return e.Rank < other.Rank
 	}
+	if e.beyondShare != other.beyondShare {
+		return other.beyondShare
+	}
 	return e.Deadline.Before(other.Deadline)
 }
 
-// insert puts an entry behind all entries of lower ranks, and those of its rank
-// that end sooner.
+// insert puts an entry behind all entries that are started before it.
 func (c *controller) insert(e *entry) {
 	i := len(c.queue)
 	for i > 0 && e.before(c.queue[i-1]) {
@@ -262,7 +295,7 @@
 		c.queue = c.queue[1:]
 		if late {
 			e.state = ended
-			e.decision <- &Refusal{Reason: contract.ReasonQueueTimeout, RetryAfter: c.expectedWait(now, e)}
+			e.decision <- e.refusal(contract.ReasonQueueTimeout, c.expectedWait(now, e))
 			continue
 		}
 		c.start(now, e)
--- a/internal/vm/scheduler/controller_test.go
+++ b/internal/vm/scheduler/controller_test.go
@@ -193,3 +193,94 @@
 		t.Fatalf("got load %+v, want nothing waiting or in flight", l)
 	}
 }
+
+// sharedRequest is a request of a workspace.
+func sharedRequest(rank int, level contract.Level, deadline int) Request {
+	r := request(rank, deadline)
+	r.Shared, r.Level = true, level
+	return r
+}
+
+// Guards against a request beyond its workspace's share that starts before one within
+// it, and against another order where no workspaces are.
+func TestRequestWithinItsShareStartsFirst(t *testing.T) {
+	const threshold = 500
+	for _, shared := range []bool{true, false} {
+		c := newController(1)
+		c.shedder.level, c.shedder.since = threshold, at(0)
+		running := mustOffer(t, c, at(0), request(1, 2000))
+		offer := func(ms, rank int, level contract.Level, deadline int) *entry {
+			r := sharedRequest(rank, level, deadline)
+			r.Shared = shared
+			return mustOffer(t, c, at(ms), r)
+		}
+		beyond := offer(1, 1, threshold-1, 900)
+		within := offer(2, 1, threshold, 1500)
+		otherRank := offer(3, 2, 2*threshold, 800)
+		want := []*entry{within, beyond, otherRank}
+		if !shared {
+			want = []*entry{beyond, within, otherRank}
+		}
+		for i, next := range want {
+			c.release(at(4+i), running, true)
+			if !isRunning(next) {
+				t.Fatalf("with shares %v: slot %d went to another request", shared, i)
+			}
+			running = next
+		}
+	}
+}
+
+// Guards against a full queue that turns away a request while one of a lower level
+// waits, and against an eviction where no workspaces are.
+func TestFullQueueEvictsTheLowestLevel(t *testing.T) {
+	for _, row := range []struct {
+		name    string
+		shared  bool
+		level   contract.Level
+		evicted bool
+	}{
+		{"above the lowest", true, 101, true},
+		{"as the lowest", true, 100, false},
+		{"without a workspace", false, 101, false},
+	} {
+		c := newController(1)
+		c.latencies = latencies{}
+		mustOffer(t, c, at(0), request(1, 1e6))
+		lowest := mustOffer(t, c, at(0), sharedRequest(1, 100, 1e6))
+		for range maxWaiting - 1 {
+			mustOffer(t, c, at(0), sharedRequest(1, 200, 1e6))
+		}
+		r := sharedRequest(1, row.level, 1e6)
+		r.Shared = row.shared
+		e, refusal := c.offer(at(0), r)
+		if (e != nil) != row.evicted || len(c.queue) != maxWaiting {
+			t.Errorf("%s: admitted %v, refusal %v, %d waiting; want admitted %v, %d waiting", row.name, e != nil, refusal, len(c.queue), row.evicted, maxWaiting)
+		}
+		if (lowest.state == ended) != row.evicted {
+			t.Errorf("%s: lowest level ended %v, want %v", row.name, lowest.state == ended, row.evicted)
+		}
+		if row.evicted {
+			if got := <-lowest.decision; got == nil || got.Reason != contract.ReasonOverload {
+				t.Errorf("%s: got decision %v for the evicted request, want overload", row.name, got)
+			}
+		}
+	}
+}
+
+// Guards against a rejection that does not tell the caller that its workspace has its
+// share.
+func TestRefusalTellsThatTheWorkspaceHasItsShare(t *testing.T) {
+	c := newController(1)
+	c.shedder.level, c.shedder.since = 500, at(0)
+	mustOffer(t, c, at(0), request(1, 2000))
+	for _, row := range []struct {
+		level contract.Level
+		want  bool
+	}{{499, true}, {500, false}} {
+		_, refusal := c.offer(at(1), sharedRequest(1, row.level, 150))
+		if refusal == nil || refusal.BeyondShare != row.want {
+			t.Errorf("level %d: got refusal %+v, want one with BeyondShare %v", row.level, refusal, row.want)
+		}
+	}
+}
--- a/internal/vm/scheduler/scheduler.go
+++ b/internal/vm/scheduler/scheduler.go
@@ -144,7 +144,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.c.withdraw(e) {
-		return nil, &Refusal{Reason: reason, RetryAfter: s.c.expectedWait(time.Now(), e)}
+		return nil, e.refusal(reason, s.c.expectedWait(time.Now(), e))
 	}
 	return permitOf(e, <-e.decision) // decided before s.mu was taken
 }
