Slow start: slots of an upstream that has started or recovered

Cause: an upstream that has just started, or that stops losing requests, got all of its slots at once, or too little by a fixed factor until warmupLeft.

Change: internal/vm/pace derives the slots in use from its responses, compared with the latency and loss that the heartbeats of its peers report. The scheduler uses the limit, keeps few requests waiting and reports it as the slots in its load.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -98,7 +98,9 @@
 	// rejectedAt is the end of the last attempt with the verdict "not run".
 	rejectedAt time.Time
 	// latency is by request kind.
-	latency  map[string]latency
+	latency map[string]latency
+	// overall is the latency over all kinds, as the last heartbeat reported it.
+	overall  latency
 	failures failureRate
 	// report is the newest one of the VM, also if Instance is not known.
 	report  instance.Report
@@ -182,6 +184,7 @@
 	defer f.mu.Unlock()
 	if e := f.byVM[vm]; e != nil {
 		e.setLoad(now, load)
+		e.overall = latency{load.Latency, now}
 	}
 	return f.hear(vm, load.Report)
 }
--- a/internal/sidecar/logs.go
+++ b/internal/sidecar/logs.go
@@ -113,11 +113,12 @@
 // runSchedulerLog is the task that logs how the threshold of the local scheduler
 // and the slots that it uses change.
 func (n *Node) runSchedulerLog(ctx context.Context) error {
-	logged, reduced := contract.Level(0), false
+	logged, reduced, ramping := contract.Level(0), false, false
 	for wait.For(ctx, thresholdInterval) == nil {
 		load := n.sched.Load(time.Now(), "")
 		logged = n.logThreshold(load, logged)
 		reduced = n.logUsable(load, reduced)
+		ramping = n.logRamp(load, ramping)
 	}
 	return nil
 }
@@ -125,13 +126,23 @@
 // logUsable logs when the scheduler begins or ceases to leave slots idle because the
 // upstream is slower with all of them in use. It takes and returns whether it does.
 func (n *Node) logUsable(load scheduler.Load, before bool) bool {
-	reduced := load.Usable < load.Slots
+	reduced := load.Usable < load.Slots && !load.Ramping
 	if reduced != before {
 		n.log.Info("slots left idle", "usable", load.Usable, "slots", load.Slots, "slowdown", load.Slowdown)
 	}
 	return reduced
 }
 
+// logRamp logs when the upstream begins or ceases to ramp up. It takes and returns
+// whether it does.
+func (n *Node) logRamp(load scheduler.Load, before bool) bool {
+	if load.Ramping != before {
+		n.log.Info("upstream ramps up", "ramping", load.Ramping, "usable", load.Usable, "slots", load.Slots,
+			"latency_ms", load.Latency.Milliseconds(), "loss", n.losses.Rate(time.Now()))
+	}
+	return load.Ramping
+}
+
 // logThreshold logs the threshold if it differs by thresholdStep or more from
 // the one that was logged last, or has returned to 0. It returns the one that
 // was logged last.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -90,21 +90,24 @@
 	// heldUpLogged is when the newest report that was held up was logged, in
 	// nanoseconds since the start; 0 for never.
 	heldUpLogged atomic.Int64
-	split        routes.Splitter
-	fleet        *fleet.Fleet
-	sched        *scheduler.Scheduler
-	upstream     *upstream.Client
-	objects      *platform.ObjectClient
-	target       *target
-	stored       *storedInstance
-	dedup        *dedup
-	correlation  *correlation.Tracker
-	callers      *callers.Tracker
-	pressure     *pressure.Table
-	shares       shares
-	budget       *budget
-	losses       losses.Tracker // of the local upstream
-	lostRuns     lostRuns
+	// comparedAt is when the local upstream was last compared with its peers, in
+	// nanoseconds since the start.
+	comparedAt  atomic.Int64
+	split       routes.Splitter
+	fleet       *fleet.Fleet
+	sched       *scheduler.Scheduler
+	upstream    *upstream.Client
+	objects     *platform.ObjectClient
+	target      *target
+	stored      *storedInstance
+	dedup       *dedup
+	correlation *correlation.Tracker
+	callers     *callers.Tracker
+	pressure    *pressure.Table
+	shares      shares
+	budget      *budget
+	losses      losses.Tracker // of the local upstream
+	lostRuns    lostRuns
 	// poison holds the requests that crash upstreams. onProbation is set while
 	// one of them runs at the local upstream on its own.
 	poison      *poison.Table
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -297,6 +297,7 @@
 		if n.fleet.UpdateLoad(time.Now(), f.Vm, loadOf(f.Load)) {
 			n.logNotice(f.Vm)
 		}
+		n.comparePeers(time.Now())
 	}
 	n.recall(f.Notice)
 	n.remind(s, f)
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -204,7 +204,7 @@
 	return &linkpb.Load{
 		InFlight:     uint32(l.InFlight),
 		Waiting:      uint32(l.Waiting),
-		Limit:        uint32(l.Slots),
+		Limit:        uint32(l.Reported),
 		LatencyUs:    uint32(l.Latency.Microseconds()),
 		Leaving:      n.stopping.Load() || !n.target.state().Ready,
 		Cold:         l.Cold,
--- a/internal/vm/scheduler/controller.go
+++ b/internal/vm/scheduler/controller.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"heathershed/internal/contract"
+	"heathershed/internal/vm/pace"
 )
 
 // Request describes one request to the scheduler.
@@ -62,10 +63,13 @@
 	// InFlight, Waiting and Slots count requests.
 	InFlight, Waiting, Slots int
 	// Usable is the number of slots that are used; less than Slots while the
-	// upstream is known to slow down with all of them in use. Slowdown is the mean
+	// upstream is known to slow down with all of them in use, or ramps up. Reported
+	// is the number that other nodes are told, and Ramping says that the upstream
+	// ramps up. Slowdown is the mean
 	// latency with nearly all slots in use over that with some idle; 0 if unknown.
-	Usable   int
-	Slowdown float64
+	Usable, Reported int
+	Ramping          bool
+	Slowdown         float64
 	// Latency is the recent mean latency of the upstream, of one kind or of all.
 	Latency time.Duration
 	// Cold says that the upstream is still warming up.
@@ -104,8 +108,13 @@
 	decision chan *Refusal
 }
 
-// maxWaiting bounds the queue.
-const maxWaiting = 1024
+const (
+	// maxWaiting bounds the queue.
+	maxWaiting = 1024
+	// rampQueueDivisor bounds the queue while the upstream ramps up to that part of
+	// the slots that are used, so that the wait is short against the run.
+	rampQueueDivisor = 4
+)
 
 // controller makes the decisions of a Scheduler. It is deterministic: it has no
 // clock and no goroutines, and methods that depend on the time take it as an
@@ -120,22 +129,49 @@
 	pacer          pacer
 	responsiveness responsiveness
 	saturation     saturation
+	ramp           pace.Ramp
 	// limitEnded is when the last limit ended. Runs from before it say nothing
 	// of the latency after it.
 	limitEnded time.Time
 }
 
 // updateThreshold lets the shedder move the threshold. It is called when a
-// request is offered or released, and before the threshold is read.
+// request is offered or released, and before the threshold is read. Slots that are
+// not used while the upstream ramps up count: what it can't take yet goes to its
+// peers and must not shed requests at the ingress.
 func (c *controller) updateThreshold(now time.Time) {
 	if c.slots < 1 {
 		return
 	}
-	c.shedder.updateThreshold(now, c.latencies.mean(), c.usable(now), c.inFlight, c.queue)
+	c.shedder.updateThreshold(now, c.latencies.mean(), c.saturation.usable(now, c.slots), c.inFlight, c.queue)
 }
 
 // usable returns the number of slots to use.
-func (c *controller) usable(now time.Time) int { return c.saturation.usable(now, c.slots) }
+func (c *controller) usable(now time.Time) int {
+	return min(c.saturation.usable(now, c.slots), c.ramp.Limit(now, c.slots))
+}
+
+// reported returns the slots that are reported to other nodes: while the upstream
+// ramps up, those that are used.
+func (c *controller) reported(now time.Time) int {
+	if c.ramp.Active(now) {
+		return c.usable(now)
+	}
+	return c.slots
+}
+
+// rampAdmits reports whether a request may be sent while the upstream ramps up. Only a
+// few wait then: they are answered sooner by its peers.
+func (c *controller) rampAdmits(now time.Time, idempotent bool) bool {
+	if !c.ramp.Active(now) {
+		return true
+	}
+	usable := c.usable(now)
+	if c.inFlight >= usable && len(c.queue) >= max(usable/rampQueueDivisor, 1) {
+		return false
+	}
+	return c.ramp.Admits(now, idempotent)
+}
 
 // threshold is the priority level below which requests should not be sent.
 func (c *controller) threshold(now time.Time) contract.Level {
@@ -158,6 +194,9 @@
 	if !c.responsiveness.admits(now, c.inFlight, c.latencies.mean(), r.Idempotent) {
 		return nil, &Refusal{Reason: contract.ReasonUpstreamSilent, RetryAfter: probeInterval}
 	}
+	if !c.rampAdmits(now, r.Idempotent) {
+		return nil, &Refusal{Reason: contract.ReasonOverload, RetryAfter: c.latencies.mean()}
+	}
 	paced := c.pacer.wait(now, len(c.queue)+1)
 	if c.pacer.excludes(&r) || r.NoWait && paced > 0 {
 		return nil, &Refusal{Reason: contract.ReasonUpstreamLimit, RetryAfter: paced}
@@ -245,7 +284,7 @@
 		}
 		ahead++
 	}
-	forSlot := time.Duration(ahead) * c.latencies.mean() / time.Duration(c.slots)
+	forSlot := time.Duration(ahead) * c.latencies.mean() / time.Duration(c.reported(now))
 	return max(forSlot, c.pacer.wait(now, ahead))
 }
 
@@ -264,6 +303,7 @@
 	}
 	c.updateThreshold(now)
 	e.state = ended
+	c.ramp.Observe(now, c.slots, pace.End{Began: e.since, Answered: ran, Idempotent: e.Idempotent, InFlight: c.inFlight})
 	c.inFlight--
 	if ran {
 		c.responsiveness.answered(now)
--- a/internal/vm/scheduler/scheduler.go
+++ b/internal/vm/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"heathershed/internal/contract"
+	"heathershed/internal/vm/pace"
 )
 
 // Scheduler admits requests to one upstream. It is closed at first, and safe
@@ -39,6 +40,9 @@
 	}
 	s.open, s.warmAt = true, warmAt
 	s.c.slots = max(slots, 1)
+	if fresh {
+		s.c.ramp.Start(now, s.c.slots)
+	}
 	s.c.dispatch(now)
 	s.setTimer(now)
 }
@@ -52,6 +56,16 @@
 	s.setTimer(now)
 }
 
+// SetEvidence tells what the node knows of its upstream and of the upstream's peers.
+// Without it, an upstream that starts or recovers gets all of its slots at once.
+func (s *Scheduler) SetEvidence(now time.Time, e pace.Evidence) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.c.ramp.SetEvidence(now, e, s.c.slots, s.c.inFlight)
+	s.c.dispatch(now)
+	s.setTimer(now)
+}
+
 // setTimer sets the timer if requests wait only for the limit of the upstream.
 // The caller holds s.mu.
 func (s *Scheduler) setTimer(now time.Time) {
@@ -185,6 +199,8 @@
 		Usable:    s.c.usable(now),
 		Slowdown:  s.c.saturation.slowdown.value,
 		Latency:   latency,
-		Cold:      now.Before(s.warmAt),
+		Reported:  s.c.reported(now),
+		Ramping:   s.c.ramp.Active(now),
+		Cold:      now.Before(s.warmAt) && !s.c.ramp.Ended(),
 	}
 }
