Slow start of an instance whose first heartbeat says that it takes no requests

Cause: the ramp-up began with the first heartbeat of an instance only, so one that took no requests at first got all of its slots once it did. Nothing tested that the slots in use reach the loads of the node.

Change: the ramp-up begins when an instance first takes requests.

--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -18,6 +18,8 @@
 	// applyMu serializes changes together with their effects, so that the
 	// effects take place in the order of the changes. It is locked before mu.
 	applyMu sync.Mutex
+	// taken is the instance that last began to take requests; applyMu guards it.
+	taken   string
 	mu      sync.Mutex
 	tracker *instance.Tracker
 	// sequence grows with each change that is sent to other nodes.
@@ -98,6 +100,10 @@
 	t.n.sched.SetLimit(time.Now(), state.Notice.Limited, state.Notice.Limit)
 	if state.Ready && !t.n.stopping.Load() {
 		t.n.sched.Open(time.Now(), state.Slots, state.WarmUntil, change == instance.Started)
+		if state.ID != t.taken {
+			t.taken = state.ID
+			t.n.sched.RampUp(time.Now())
+		}
 	} else {
 		t.n.sched.Close(contract.ReasonLeaving)
 	}
--- a/internal/vm/scheduler/ramp_test.go
+++ b/internal/vm/scheduler/ramp_test.go
@@ -63,6 +63,7 @@
 func TestWaitingRequestsStartWhenTheLimitGrows(t *testing.T) {
 	s := NewScheduler()
 	s.Open(at(0), 16, at(60_000), true)
+	s.RampUp(at(0))
 	s.SetEvidence(at(0), pace.Evidence{Latency: 100 * time.Millisecond})
 	if l := s.Load(at(0), ""); l.Reported != 2 || l.Slots != 16 || !l.Ramping || !l.Cold {
 		t.Errorf("got %+v, want 2 of 16 slots reported while it ramps up, cold", l)
@@ -90,6 +91,7 @@
 func TestWithoutEvidenceAllSlotsAreUsed(t *testing.T) {
 	s := NewScheduler()
 	s.Open(at(0), 16, at(1000), true)
+	s.RampUp(at(0))
 	if l := s.Load(at(0), ""); l.Reported != 16 || l.Usable != 16 || l.Ramping || !l.Cold {
 		t.Errorf("got %+v, want all 16 slots, cold until its time", l)
 	}
--- a/internal/vm/scheduler/scheduler.go
+++ b/internal/vm/scheduler/scheduler.go
@@ -40,9 +40,6 @@
 	}
 	s.open, s.warmAt = true, warmAt
 	s.c.slots = max(slots, 1)
-	if fresh {
-		s.c.ramp.Start(now, s.c.slots)
-	}
 	s.c.dispatch(now)
 	s.setTimer(now)
 }
@@ -56,6 +53,14 @@
 	s.setTimer(now)
 }
 
+// RampUp records that the upstream has begun to take requests since its start: it ramps
+// up as soon as there is evidence of its peers. The scheduler must be open.
+func (s *Scheduler) RampUp(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.c.ramp.Start(now, s.c.slots)
+}
+
 // SetEvidence tells what the node knows of its upstream and of the upstream's peers.
 // Without it, an upstream that starts or recovers gets all of its slots at once.
 func (s *Scheduler) SetEvidence(now time.Time, e pace.Evidence) {
