--- /dev/null
+++ b/internal/fleet/bench_test.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"heathershed/internal/contract"
+)
+
+// largeFleet is what a node knows of 600 nodes of 89 services of uneven size. It
+// returns the names of a service with few upstreams and of one with many.
+func largeFleet(load func(vm string) Load) (f *Fleet, few, many string) {
+	const nodes, services = 600, 89
+	f = New("dc0")
+	add := func(service string, count int) {
+		for i := range count {
+			vm := fmt.Sprint(service, "-", i)
+			f.Put(Upstream{VM: vm, Service: service, Datacentre: fmt.Sprint("dc", i%4), Instance: vm, Slots: 20, Ready: true})
+			f.SetLinked(vm, true)
+			c, _ := f.Pick(epoch, Query{Service: service, Kind: service + "-kind", Only: vm})
+			l := load(vm)
+			f.Done(epoch, c, Result{Verdict: contract.Ran, Kind: service + "-kind", Load: &l})
+		}
+	}
+	add("few", 7)
+	add("many", 46)
+	rest := nodes - 7 - 46
+	for s := range services - 2 {
+		add(fmt.Sprint("s", s), (rest+s)/(services-2))
+	}
+	return f, "few", "many"
+}
+
+func benchmarkPick(b *testing.B, load func(vm string) Load) {
+	f, few, many := largeFleet(load)
+	for _, service := range []string{few, many} {
+		b.Run(service, func(b *testing.B) {
+			q := Query{Service: service, Kind: service + "-kind"}
+			now := epoch
+			b.ReportAllocs()
+			for i := range b.N {
+				now = now.Add(time.Microsecond)
+				q.Random = uint64(i)
+				c, _ := f.Pick(now, q)
+				l := c.e.load
+				f.Done(now, c, Result{Verdict: contract.Ran, Kind: q.Kind, Load: &l})
+			}
+		})
+	}
+}
+
+// BenchmarkPick measures a choice and its end where the upstreams report nothing.
+func BenchmarkPick(b *testing.B) {
+	benchmarkPick(b, func(string) Load {
+		return Load{InFlight: 8, Slots: 20, Latency: 5 * time.Millisecond}
+	})
+}
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -51,6 +51,29 @@
 func (f *Fleet) Pick(now time.Time, q Query) (Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	best, drawn := f.pickDrawn(now, &q)
+	if !drawn {
+		best = f.pickLowest(now, q)
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	if best.outstanding == 0 {
+		best.waitingSince = now
+	}
+	best.outstanding++
+	best.sent++
+	limited := best.heard().Limited
+	return Choice{
+		Upstream: best.Upstream,
+		Report:   best.heard(),
+		NoWait:   limited && f.hasUnlimited(q),
+		e:        best,
+	}, true
+}
+
+// pickLowest returns the candidate with the lowest cost, or nil if there is none.
+func (f *Fleet) pickLowest(now time.Time, q Query) *entry {
 	service := f.kindLatency(now, q)
 	unlimited := f.hasUnlimited(q)
 	random := q.Random
@@ -67,20 +90,7 @@
 			best, lowest = e, c
 		}
 	}
-	if best == nil {
-		return Choice{}, false
-	}
-	if best.outstanding == 0 {
-		best.waitingSince = now
-	}
-	best.outstanding++
-	best.sent++
-	return Choice{
-		Upstream: best.Upstream,
-		Report:   best.heard(),
-		NoWait:   unlimited && best.heard().Limited,
-		e:        best,
-	}, true
+	return best
 }
 
 // isCandidate reports whether a request may be sent to the upstream.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,6 +14,7 @@
 
 	"heathershed/internal/contract"
 	"heathershed/internal/vm/instance"
+	"heathershed/internal/vm/upstreamload"
 )
 
 // Upstream is an upstream as announced by the node beside it.
@@ -44,6 +45,9 @@
 	// PacedUntil is when the limit that the upstream names has room for another
 	// request; zero if it has room now.
 	PacedUntil time.Time
+	// Upstream is the load that the upstream itself reports, as the node beside it has
+	// smoothed it.
+	Upstream upstreamload.Report
 	// Report is what the node beside the upstream has heard of the instance.
 	Report instance.Report
 }
@@ -103,6 +107,8 @@
 	// report is the newest one of the VM, also if Instance is not known.
 	report  instance.Report
 	backoff limitBackoff
+	// reported is the newest load that the instance reports itself.
+	reported reported
 }
 
 // Fleet holds the upstreams that a node knows. It is safe for concurrent use.
@@ -190,6 +196,7 @@
 func (e *entry) setLoad(now time.Time, load Load) {
 	e.load, e.loadAt = load, now
 	e.sent = 0
+	e.hearLoad(now, load)
 	if load.Slots > 0 {
 		e.Slots = load.Slots
 	}
@@ -207,7 +214,7 @@
 		isNews = f.hear(e.VM, r.Load.Report)
 		e.setLoad(now, *r.Load)
 		if r.Load.Latency > 0 {
-			e.latency[r.Kind] = latency{r.Load.Latency, now}
+			e.latency[r.Kind] = latency{r.Load.Latency, now, r.Load.Upstream.RunPace}
 		}
 	} else {
 		e.sent = max(e.sent-1, 0)
--- a/internal/fleet/latency.go
+++ b/internal/fleet/latency.go
@@ -26,6 +26,8 @@
 type latency struct {
 	value time.Duration
 	at    time.Time
+	// runPace is the mean pace that the upstream reported of the runs; 0: none.
+	runPace float64
 }
 
 // weight is what the latency counts after some time, from 1 to 0.
