Sidecar: read, smooth and pass on the load that upstreams report

Cause: upstreams report running,waiting,slots[,pace] in Heathershed-Server-Load, and nothing read it. Off unless [upstream] reported_load is set.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -46,13 +46,14 @@
 
 // Pick chooses the upstream of the service with the lowest cost among those that
 // have room, or else the one that has most, and counts a request as outstanding
-// there until Done. It returns false if no upstream of the service outside q.Exclude
+// there until Done. If upstreams of the service report their load, it compares a few
+// that are drawn, see uneven.go. It returns false if no upstream of the service outside q.Exclude
 // can take requests.
 func (f *Fleet) Pick(now time.Time, q Query) (Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	best, drawn := f.pickDrawn(now, &q)
-	if !drawn {
+	best := f.pickDrawn(now, &q)
+	if best == nil {
 		best = f.pickLowest(now, q)
 	}
 	if best == nil {
@@ -63,11 +64,10 @@
 	}
 	best.outstanding++
 	best.sent++
-	limited := best.heard().Limited
 	return Choice{
 		Upstream: best.Upstream,
 		Report:   best.heard(),
-		NoWait:   limited && f.hasUnlimited(q),
+		NoWait:   best.limits() && f.hasUnlimited(q),
 		e:        best,
 	}, true
 }
@@ -126,8 +126,10 @@
 // cost ranks an upstream for one request.
 type cost struct {
 	// full reports that no room is expected there.
-	full  bool
-	value float64
+	full bool
+	// doubtful reports that requests may not be answered there.
+	doubtful bool
+	value    float64
 }
 
 // less reports whether an upstream is chosen before another one. One that is full is
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -119,6 +119,8 @@
 	mu        sync.Mutex
 	byVM      map[string]*entry
 	byService map[string][]*entry
+	// reportedAt is when an upstream of a service was last heard to report its load.
+	reportedAt map[string]time.Time
 }
 
 // New returns an empty Fleet for a node in the data centre.
@@ -127,6 +129,7 @@
 		datacentre: datacentre,
 		byVM:       make(map[string]*entry),
 		byService:  make(map[string][]*entry),
+		reportedAt: make(map[string]time.Time),
 	}
 }
 
@@ -187,16 +190,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if e := f.byVM[vm]; e != nil {
-		e.setLoad(now, load)
+		f.setLoad(now, e, load)
 	}
 	return f.hear(vm, load.Report)
 }
 
 // setLoad replaces the load by a newer one.
-func (e *entry) setLoad(now time.Time, load Load) {
+func (f *Fleet) setLoad(now time.Time, e *entry, load Load) {
 	e.load, e.loadAt = load, now
 	e.sent = 0
-	e.hearLoad(now, load)
+	f.hearLoad(now, e, load)
 	if load.Slots > 0 {
 		e.Slots = load.Slots
 	}
@@ -212,7 +215,7 @@
 	e.waitingSince = now
 	if r.Load != nil {
 		isNews = f.hear(e.VM, r.Load.Report)
-		e.setLoad(now, *r.Load)
+		f.setLoad(now, e, *r.Load)
 		if r.Load.Latency > 0 {
 			e.latency[r.Kind] = latency{r.Load.Latency, now, r.Load.Upstream.RunPace}
 		}
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -49,6 +49,9 @@
 	QuotaWindow  time.Duration
 	QuotaOverage float64
 	QuotaSlack   float64
+	// UpstreamLoad says that the load which the upstream reports of itself counts in the
+	// choice of upstreams.
+	UpstreamLoad bool
 	// Memory is the memory that the VM provides for the process, in bytes.
 	Memory int64
 	// LogLevel is debug, info, warn or error.
@@ -100,6 +103,7 @@
 		{section: "addresses", key: "heartbeats", value: address{&s.Heartbeats}, required: true},
 		{section: "addresses", key: "metrics", value: address{&s.Metrics}, required: true},
 		{section: "upstream", key: "address", value: address{&s.Upstream}, required: true},
+		{section: "upstream", key: "reported_load", value: toggle{&s.UpstreamLoad}, defaultText: "false"},
 		{section: "platform", key: "address", value: address{&s.Platform}, required: true},
 		{section: "configuration", key: "apply_within", value: duration{&s.ApplyWithin, minApplyWithin, time.Hour}, defaultText: "2s"},
 		{section: "retries", key: "ratio", value: ratio{&s.RetryRatio}, defaultText: "0.2"},
--- a/internal/sidecar/leaving.go
+++ b/internal/sidecar/leaving.go
@@ -108,6 +108,7 @@
 func (n *Node) checkHealth(ctx context.Context, path string) (passed bool) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
+	sent := time.Now()
 	req, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(answer)
@@ -133,5 +134,6 @@
 		}
 		return tr.Healthy(id)
 	})
+	n.observeServerLoad(id, sent, out, answer)
 	return true
 }
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -40,8 +40,9 @@
 	store         map[storeOutcome]tally.Counter
 	pulls         tally.Counter
 	unserved      tally.Counter
+	invalidLoads  tally.Counter
 
-	inFlight, waiting, slots, usable, loss, threshold, demand, version, age, upstreams, limited, limit tally.Gauge
+	inFlight, waiting, slots, usable, loss, threshold, demand, version, age, upstreams, limited, limit, pace, reportedBusy tally.Gauge
 }
 
 // storeOutcome identifies a counter of calls to the object API: the call, and
@@ -62,6 +63,7 @@
 		store:         make(map[storeOutcome]tally.Counter),
 		pulls:         scope.Counter("members_pulled"),
 		unserved:      scope.Counter("services_without_upstream"),
+		invalidLoads:  scope.Counter("upstream_loads_ignored"),
 		inFlight:      scope.Gauge("door_in_flight"),
 		waiting:       scope.Gauge("door_waiting"),
 		slots:         scope.Gauge("door_slots"),
@@ -74,6 +76,8 @@
 		upstreams:     scope.Gauge("upstreams_usable"),
 		limited:       scope.Gauge("upstream_limited"),
 		limit:         scope.Gauge("upstream_limit"),
+		pace:          scope.Gauge("upstream_pace"),
+		reportedBusy:  scope.Gauge("upstream_reported_busy"),
 	}
 	for r := range m.rejected {
 		byReason := scope.Tagged(map[string]string{"reason": contract.Reason(r).String()})
@@ -187,6 +191,9 @@
 		_, usable := n.fleet.Counts()
 		n.metrics.upstreams.Update(float64(usable))
 		n.metrics.updateNotice(n.target.state().Notice)
+		report, _ := n.loadReport()
+		n.metrics.pace.Update(report.Pace)
+		n.metrics.reportedBusy.Update(report.Busy)
 	}
 	return nil
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -104,6 +104,7 @@
 	budget       *budget
 	losses       losses.Tracker // of the local upstream
 	lostRuns     lostRuns
+	reportedLoad reportedLoad
 	// poison holds the requests that crash upstreams. onProbation is set while
 	// one of them runs at the local upstream on its own.
 	poison      *poison.Table
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -292,7 +292,7 @@
 	n.peers.mergeReported(f)
 	n.peers.sendNewer(s, f.Members)
 	if f.Load != nil {
-		if n.fleet.UpdateLoad(time.Now(), f.Vm, loadOf(f.Load)) {
+		if n.fleet.UpdateLoad(time.Now(), f.Vm, n.loadOf(f.Load)) {
 			n.logNotice(f.Vm)
 		}
 	}
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -158,7 +158,7 @@
 		reply, suspected = n.links.Call(ctx, choice.VM, req, suspect)
 	}
 	now := time.Now()
-	if n.fleet.Done(now, choice, resultOf(c, reply)) {
+	if n.fleet.Done(now, choice, n.resultOf(c, reply)) {
 		n.logNotice(choice.VM)
 	}
 	n.observeReply(now, c, reply)
@@ -209,20 +209,20 @@
 	return req
 }
 
-func resultOf(c *call, reply *linkpb.CallReply) fleet.Result {
+func (n *Node) resultOf(c *call, reply *linkpb.CallReply) fleet.Result {
 	r := fleet.Result{
 		Verdict: contract.Verdict(reply.Verdict),
 		Reason:  contract.Reason(reply.Reason),
 		Kind:    c.route.Name,
 	}
 	if reply.Load != nil {
-		load := loadOf(reply.Load)
+		load := n.loadOf(reply.Load)
 		r.Load = &load
 	}
 	return r
 }
 
-func loadOf(l *linkpb.Load) fleet.Load {
+func (n *Node) loadOf(l *linkpb.Load) fleet.Load {
 	return fleet.Load{
 		InFlight: int(l.InFlight),
 		Waiting:  int(l.Waiting),
@@ -234,5 +234,6 @@
 
 		PacedUntil: time.Now().Add(time.Duration(l.PaceWaitUs) * time.Microsecond),
 		Report:     reportOf(l.Notice),
+		Upstream:   n.loadReportOf(l.Upstream),
 	}
 }
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -138,6 +138,10 @@
 		n.lostRuns.answered(state.ID, sent)
 	}
 	n.observeNotice(state.ID, sent, out, answer)
+	// Only an answer that names the request is certain not to be a late one of another.
+	if platform.Matches(answer, req.AttemptId) == upstream.MatchNamed {
+		n.observeServerLoad(state.ID, sent, out, answer)
+	}
 	if out.Verdict == contract.NotRun && !req.Idempotent {
 		n.dedup.remove(req.AttemptId)
 	}
@@ -211,5 +215,6 @@
 		LossPermille: uint32(permille * n.losses.Rate(time.Now())),
 		PaceWaitUs:   uint32(min(l.PaceWait.Microseconds(), math.MaxUint32)),
 		Notice:       noticeMessage(n.target.report()),
+		Upstream:     n.loadReportMessage(),
 	}
 }
