Choice among uneven upstreams: two drawn in proportion to their slots

Cause: the lowest cost of all follows the reports: 100 senders that hear the same choose the same upstream until the next report. Change: where an upstream of the service reports its load, two of the data centre are drawn by slots, the cheaper one is chosen; a request leaves the data centre only for one that is cheaper than all of it. Occupancy is weighted by its age, the pace corrects the known latency. Without reports the choice is as before.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -52,7 +52,7 @@
 func (f *Fleet) Pick(now time.Time, q Query) (Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	best := f.pickDrawn(now, &q)
+	best := f.pickDrawn(now, q)
 	if best == nil {
 		best = f.pickLowest(now, q)
 	}
@@ -80,7 +80,7 @@
 	var best *entry
 	var lowest cost
 	for _, e := range f.byService[q.Service] {
-		if !e.isCandidate(q) || unlimited && e.passedOver(now, q) {
+		if !e.isCandidate(&q) || unlimited && e.passedOver(now, &q) {
 			continue
 		}
 		random = nextRandom(random)
@@ -94,8 +94,8 @@
 }
 
 // isCandidate reports whether a request may be sent to the upstream.
-func (e *entry) isCandidate(q Query) bool {
-	return e.usable() && !slices.Contains(q.Exclude, e.VM) && (q.Only == "" || q.Only == e.VM)
+func (e *entry) isCandidate(q *Query) bool {
+	return e.usable() && !(len(q.Exclude) > 0 && slices.Contains(q.Exclude, e.VM)) && (q.Only == "" || q.Only == e.VM)
 }
 
 // Owner returns the VM, of those with a usable upstream of the service, that
@@ -118,9 +118,12 @@
 
 // hasUnlimited reports whether some candidate names no limit.
 func (f *Fleet) hasUnlimited(q Query) bool {
-	return slices.ContainsFunc(f.byService[q.Service], func(e *entry) bool {
-		return e.isCandidate(q) && !e.heard().Limited
-	})
+	for _, e := range f.byService[q.Service] {
+		if e.isCandidate(&q) && !e.limits() {
+			return true
+		}
+	}
+	return false
 }
 
 // cost ranks an upstream for one request.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -90,6 +90,7 @@
 // entry is the state of one upstream.
 type entry struct {
 	Upstream
+	side   side
 	linked bool
 	load   Load
 	loadAt time.Time
@@ -151,6 +152,10 @@
 		f.byService[u.Service] = append(f.byService[u.Service], e)
 	}
 	e.Upstream = u
+	e.side = far
+	if u.Datacentre == f.datacentre {
+		e.side = near
+	}
 	e.load.Draining = false
 }
 
@@ -264,5 +269,5 @@
 // reports draining is valid only until the next one: loads of one node arrive
 // over several paths, and an old one may arrive last.
 func (e *entry) usable() bool {
-	return e.linked && e.Ready && !e.load.Draining && !e.heard().Leaving
+	return e.linked && e.Ready && !e.load.Draining && !(e.report.Leaving && e.report.Instance == e.Instance)
 }
--- a/internal/fleet/latency.go
+++ b/internal/fleet/latency.go
@@ -77,7 +77,7 @@
 	if !known {
 		return service.lowest
 	}
-	if e.heard().Limited {
+	if e.limits() {
 		left := math.Exp2(-now.Sub(l.at).Seconds() / limitedHalfLife.Seconds())
 		return time.Duration(float64(l.value) * left)
 	}
--- a/internal/fleet/notice.go
+++ b/internal/fleet/notice.go
@@ -82,19 +82,22 @@
 	return e.report
 }
 
+// limits reports whether the current instance names a limit.
+func (e *entry) limits() bool { return e.report.Limited && e.report.Instance == e.Instance }
+
 // passedOver reports whether an upstream that names a limit is passed over
 // because others name none.
-func (e *entry) passedOver(now time.Time, q Query) bool {
-	return e.heard().Limited && (q.AvoidLimited || now.Before(e.backoff.until))
+func (e *entry) passedOver(now time.Time, q *Query) bool {
+	return e.limits() && (q.AvoidLimited || now.Before(e.backoff.until))
 }
 
 // paceWait is how long a request would wait for the limit of the upstream: what
 // was reported last, and the requests sent since.
 func (e *entry) paceWait(now time.Time) time.Duration {
-	limit := e.heard().Limit
-	if !e.heard().Limited {
+	if !e.limits() {
 		return 0
 	}
+	limit := e.report.Limit
 	wait := e.load.PacedUntil.Sub(now)
 	if limit > 0 {
 		wait += time.Duration(float64(e.sent) / limit * float64(time.Second))
--- a/internal/fleet/uneven.go
+++ b/internal/fleet/uneven.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"time"
 
 	"heathershed/internal/vm/upstreamload"
@@ -14,7 +15,8 @@
 // cheaper than every upstream of this data centre by more than remoteFactor.
 
 const (
-	// draws is the number of upstreams that are drawn of each side.
+	// draws is the number of upstreams that are drawn of each side. With three, quick
+	// ones get more than their share of the requests.
 	draws = 2
 	// maxPaceChange bounds the factor by which a report changes an expected latency,
 	// whatever the upstream says.
@@ -70,85 +72,39 @@
 	return 1 + (change-1)*min(max(left, 0), 1)
 }
 
-// eligible is what a choice needs to know of all candidates of a service.
-type eligible struct {
-	reporting, limited, unlimited bool
-	// slots are those of each side, busy the requests of both.
-	slots [numSides]int
-	busy  int
-}
-
-// meanUse is the mean utilisation of the candidates.
-func (c *eligible) meanUse() float64 {
-	return float64(c.busy) / float64(max(c.slots[near]+c.slots[far], 1))
-}
-
-func (f *Fleet) sideOf(e *entry) side {
-	if e.Datacentre == f.datacentre {
-		return near
-	}
-	return far
-}
-
-// survey counts the candidates. Those that are passed over because they name a limit
-// are left out if skipLimited is set.
-func (f *Fleet) survey(now time.Time, q *Query, skipLimited bool) (c eligible) {
-	for _, e := range f.byService[q.Service] {
-		if !e.isCandidate(*q) || skipLimited && e.passedOver(now, *q) {
-			continue
-		}
-		if e.limits() {
-			c.limited = true
-		} else {
-			c.unlimited = true
-		}
-		c.reporting = c.reporting || e.reported.valid(now)
-		c.slots[f.sideOf(e)] += max(e.Slots, 1)
-		c.busy += e.load.InFlight + e.load.Waiting
-	}
-	return c
-}
-
 // drawnChoice is one choice among drawn upstreams.
 type drawnChoice struct {
 	f   *Fleet
 	now time.Time
-	q   *Query
-	// skipLimited says that some upstreams that name a limit are passed over.
+	q   Query
+	// skipLimited says that upstreams that name a limit may be passed over, because
+	// others name none.
 	skipLimited bool
-	meanUse     float64
-	// points are the positions that are drawn in the slots of each side.
-	points [numSides][draws]int
-	best   [numSides]*entry
-	lowest [numSides]cost
+	// limited and unlimited say whether there are candidates that name a limit, and
+	// that name none.
+	limited, unlimited bool
+	drawn              [numSides][draws]*entry
+	// slots are those of the candidates of each side, busy the requests of all.
+	slots [numSides]int
+	busy  int
 }
 
-// pickDrawn chooses among drawn upstreams. It returns nil if no candidate reports its
-// load, or if all that are drawn may not answer: then the lowest cost of all decides.
-func (f *Fleet) pickDrawn(now time.Time, q *Query) *entry {
-	if !f.isReporting(now, q.Service) {
-		return nil
-	}
-	all := f.survey(now, q, false)
-	if !all.reporting {
+// pickDrawn chooses among drawn upstreams. It returns nil if no upstream of the service
+// reports its load, or if all that are drawn may not answer: then the lowest cost of
+// all decides.
+func (f *Fleet) pickDrawn(now time.Time, q Query) *entry {
+	if at, known := f.reportedAt[q.Service]; !known || now.Sub(at) >= upstreamload.Expiry {
 		return nil
 	}
-	c := drawnChoice{f: f, now: now, q: q, skipLimited: all.limited && all.unlimited}
-	if c.skipLimited {
-		all = f.survey(now, q, true)
+	c := drawnChoice{f: f, now: now, q: q}
+	c.draw()
+	if c.limited && c.unlimited {
+		c = drawnChoice{f: f, now: now, q: q, skipLimited: true}
+		c.draw()
 	}
-	c.meanUse = all.meanUse()
-	random := q.Random
-	for s := range c.points {
-		for i := range c.points[s] {
-			random = nextRandom(random)
-			c.points[s][i] = int(unitFloat(random) * float64(all.slots[s]))
-		}
-	}
-	c.compareDrawn()
-	best, lowest := c.best[near], c.lowest[near]
-	if c.leaves() {
-		best, lowest = c.best[far], c.lowest[far]
+	best, lowest := c.cheapest(near)
+	if other, otherLowest := c.cheapest(far); other != nil && c.leaves(best, lowest, otherLowest) {
+		best, lowest = other, otherLowest
 	}
 	if lowest.doubtful {
 		return nil
@@ -156,65 +112,84 @@
 	return best
 }
 
-// compareDrawn finds the cheapest of the drawn upstreams of each side.
-func (c *drawnChoice) compareDrawn() {
-	var passed [numSides]int
+// draw draws upstreams of each side: each candidate replaces those drawn before with the
+// probability of its slots over all until then.
+func (c *drawnChoice) draw() {
+	random := c.q.Random
 	for _, e := range c.f.byService[c.q.Service] {
 		if !c.eligible(e) {
 			continue
 		}
-		s := c.f.sideOf(e)
-		first := passed[s]
-		passed[s] += max(e.Slots, 1)
-		if !c.isDrawn(s, first, passed[s]) {
-			continue
+		if e.limits() {
+			c.limited = true
+		} else {
+			c.unlimited = true
 		}
-		if v := c.cost(e); c.best[s] == nil || v.less(c.lowest[s]) {
-			c.best[s], c.lowest[s] = e, v
+		s := e.side
+		slots := max(e.Slots, 1)
+		c.slots[s] += slots
+		c.busy += e.load.InFlight + e.load.Waiting
+		random = nextRandom(random)
+		for i, part := range [draws]uint64{random >> 32, random & math.MaxUint32} {
+			if part*uint64(c.slots[s])>>32 < uint64(slots) {
+				c.drawn[s][i] = e
+			}
 		}
 	}
 }
 
 func (c *drawnChoice) eligible(e *entry) bool {
-	return e.isCandidate(*c.q) && !(c.skipLimited && e.passedOver(c.now, *c.q))
+	return e.isCandidate(&c.q) && !(c.skipLimited && e.passedOver(c.now, &c.q))
 }
 
-// isDrawn reports whether a point of the side is in [first, end).
-func (c *drawnChoice) isDrawn(s side, first, end int) bool {
-	for _, p := range c.points[s] {
-		if first <= p && p < end {
-			return true
+// cheapest returns the cheapest of the drawn upstreams of a side, nil if there is none.
+func (c *drawnChoice) cheapest(s side) (best *entry, lowest cost) {
+	for i, e := range c.drawn[s] {
+		if e == nil || i > 0 && e == best {
+			continue
+		}
+		if v := c.cost(e); best == nil || v.less(lowest) {
+			best, lowest = e, v
 		}
 	}
-	return false
+	return best, lowest
 }
 
-// leaves reports whether the request leaves its data centre.
-func (c *drawnChoice) leaves() bool {
-	if c.best[far] == nil || c.best[near] != nil && !c.lowest[far].less(c.lowest[near]) {
+// leaves reports whether the request leaves its data centre, where best is the drawn
+// upstream of this one, or nil: the other one has to be cheaper than all of this one.
+func (c *drawnChoice) leaves(best *entry, lowest, other cost) bool {
+	if best == nil {
+		return true
+	}
+	if !other.less(lowest) {
 		return false
 	}
 	for _, e := range c.f.byService[c.q.Service] {
-		if c.f.sideOf(e) == near && c.eligible(e) && !c.lowest[far].less(c.cost(e)) {
+		if e.side == near && c.eligible(e) && !other.less(c.cost(e)) {
 			return false
 		}
 	}
 	return true
 }
 
+// meanUse is the mean utilisation of the candidates.
+func (c *drawnChoice) meanUse() float64 {
+	return float64(c.busy) / float64(max(c.slots[near]+c.slots[far], 1))
+}
+
 // cost returns the cost of an upstream: the time in which a response is expected,
 // multiplied by the factors that apply.
 func (c *drawnChoice) cost(e *entry) cost {
 	l, known := e.latency[c.q.Kind]
 	expected := l.value
 	if !known || e.limits() || c.now.Sub(l.at) > freshLatency {
-		expected = e.expectedLatency(c.now, c.q.Kind, c.f.kindLatency(c.now, *c.q))
+		expected = e.expectedLatency(c.now, c.q.Kind, c.f.kindLatency(c.now, c.q))
 	}
-	doubt := e.doubt(c.now, *c.q, expected)
-	use := (e.expectedBusy(c.now, expected, c.meanUse) + 1) / float64(max(e.Slots, 1))
+	doubt := e.doubt(c.now, c.q, expected)
+	use := (e.expectedBusy(c.now, expected, c.meanUse()) + 1) / float64(max(e.Slots, 1))
 	took := expected.Seconds()*e.paceChange(c.now, l) + e.paceWait(c.now).Seconds()
 	value := (1 + loadFactor*use*use) * doubt * took
-	if e.Datacentre != c.f.datacentre {
+	if e.side == far {
 		value *= remoteFactor
 	}
 	if e.load.Cold {
@@ -236,15 +211,3 @@
 	mean := meanUse * float64(max(e.Slots, 1))
 	return max(float64(e.outstanding), weight*heard+(1-weight)*mean+float64(e.sent))
 }
-
-// isReporting reports whether an upstream of the service has reported its load within
-// the expiry. Services of which none has are not searched for one.
-func (f *Fleet) isReporting(now time.Time, service string) bool {
-	at, known := f.reportedAt[service]
-	return known && now.Sub(at) < upstreamload.Expiry
-}
-
-// limits reports whether the current instance names a limit.
-func (e *entry) limits() bool {
-	return e.report.Limited && e.report.Instance == e.Instance
-}
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -234,6 +234,6 @@
 
 		PacedUntil: time.Now().Add(time.Duration(l.PaceWaitUs) * time.Microsecond),
 		Report:     reportOf(l.Notice),
-		Upstream:   n.loadReportOf(l.Upstream),
+		Upstream:   n.loadReportOf(l),
 	}
 }
--- a/internal/sidecar/upstreamload.go
+++ b/internal/sidecar/upstreamload.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -74,26 +73,27 @@
 		return nil
 	}
 	return &linkpb.UpstreamLoad{
-		Incarnation: n.incarnation.Load(), Sequence: r.Sequence,
-		BusyPermille: permilleOf(r.Busy), PacePermille: permilleOf(r.Pace), RunPacePermille: permilleOf(r.RunPace),
-		AgeUs: uint32(min(r.Age.Microseconds(), math.MaxUint32)),
+		Sequence: r.Sequence, BusyPermille: permilleOf(r.Busy),
+		PacePermille: permilleOf(r.Pace), RunPacePermille: permilleOf(r.RunPace),
+		AgeMs: uint32(r.Age.Milliseconds()), // below upstreamload.Expiry
 	}
 }
 
 func permilleOf(v float64) uint32 { return uint32(min(permille*v, maxReportedFigure)) }
 
-// loadReportOf returns the report in a message, which may be nil. The zero Report is
+// loadReportOf returns the report in a load, which may have none. The zero Report is
 // returned for one out of range, which is that of another version, and where the
 // setting is off.
-func (n *Node) loadReportOf(m *linkpb.UpstreamLoad) upstreamload.Report {
+func (n *Node) loadReportOf(l *linkpb.Load) upstreamload.Report {
+	m := l.Upstream
 	if m == nil || !n.cfg.UpstreamLoad || m.PacePermille == 0 || m.RunPacePermille == 0 ||
 		max(m.BusyPermille, m.PacePermille, m.RunPacePermille) > maxReportedFigure {
 		return upstreamload.Report{}
 	}
 	return upstreamload.Report{
-		Incarnation: m.Incarnation, Sequence: m.Sequence,
+		Incarnation: l.Notice.GetIncarnation(), Sequence: m.Sequence,
 		Busy: float64(m.BusyPermille) / permille,
 		Pace: float64(m.PacePermille) / permille, RunPace: float64(m.RunPacePermille) / permille,
-		Age: time.Duration(m.AgeUs) * time.Microsecond,
+		Age: time.Duration(m.AgeMs) * time.Millisecond,
 	}
 }
