Test of the reported load: read the report of a heartbeat, not of an update

Measured: go test -race ./internal/sidecar -run 'Reported|InvalidLoad|WithoutTheSetting|OutOfRange' passes.

--- a/internal/sidecar/upstreamload_test.go
+++ b/internal/sidecar/upstreamload_test.go
@@ -66,7 +66,7 @@
 	if r := near.node.loadOf(reply.Load).Upstream; !r.Known() || r.Pace != 2.5 || r.Incarnation != far.node.incarnation.Load() {
 		t.Errorf("another node reads %+v, want the report", r)
 	}
-	if frame := far.node.newFrame(); frame.Load.GetUpstream() == nil {
+	if frame := far.node.Heartbeat(nil); frame.Load.GetUpstream() == nil {
 		t.Error("heartbeats carry no report")
 	}
 	for _, h := range reply.Headers {
