--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -8,14 +8,16 @@
 	"heathershed/internal/contract"
 )
 
+const linkedOfMany = localLinks + remoteLinks
+
 // benchmarkStart has a monotonic reading, as times in a node have.
 var benchmarkStart = time.Now()
 
-// largeFleet is what a node knows of 600 nodes of 89 services of uneven size. It
-// returns the names of a service with few upstreams and of one with many.
-func largeFleet(load func(vm string) Load) (f *Fleet, few, many string) {
+// largeFleet is what a node knows of 600 nodes of 89 services of uneven size: "few" has
+// 7 upstreams, "many" 46, "linked" 46 of which linkedOfMany are linked, as with Subset.
+func largeFleet(load func(vm string) Load) *Fleet {
 	const nodes, services = 600, 89
-	f = New("dc0")
+	f := New("dc0")
 	add := func(service string, count int) {
 		for i := range count {
 			vm := fmt.Sprint(service, "-", i)
@@ -28,16 +30,20 @@
 	}
 	add("few", 7)
 	add("many", 46)
-	rest := nodes - 7 - 46
-	for s := range services - 2 {
-		add(fmt.Sprint("s", s), (rest+s)/(services-2))
+	add("linked", 46)
+	rest := nodes - 7 - 46 - 46
+	for s := range services - 3 {
+		add(fmt.Sprint("s", s), (rest+s)/(services-3))
+	}
+	for i := range 46 - linkedOfMany {
+		f.SetLinked(fmt.Sprint("linked-", linkedOfMany+i), false)
 	}
-	return f, "few", "many"
+	return f
 }
 
 func benchmarkPick(b *testing.B, load func(vm string) Load) {
-	f, few, many := largeFleet(load)
-	for _, service := range []string{few, many} {
+	f := largeFleet(load)
+	for _, service := range []string{"few", "many", "linked"} {
 		b.Run(service, func(b *testing.B) {
 			q := Query{Service: service, Kind: service + "-kind"}
 			now := benchmarkStart
--- a/internal/fleet/uneven_test.go
+++ b/internal/fleet/uneven_test.go
@@ -32,6 +32,14 @@
 	times  []time.Duration
 	left   [unevenMaxPlaces]int // requests that have left their data centre, by it
 	sent   [unevenMaxPlaces]int
+	// quiet counts the requests of data centres that are not offered twice their
+	// capacity, quietLeft those of them that have left it.
+	quiet, quietLeft int
+	// busyWindows are the shares of the requests that have left the data centre which
+	// is offered twice its capacity, by window, without the first ones of its turn.
+	busyWindows        []float64
+	windowEnd          time.Time
+	busySent, busyLeft int
 	// byWindow counts the runs that began at each upstream, by window.
 	byWindow [][]int
 	counted  time.Time
@@ -243,6 +251,7 @@
 		if u.place != place {
 			s.left[place]++
 		}
+		s.countTurn(place, u.place != place)
 	}
 	r.ended = func(u *unevenUpstream) {
 		load := s.known(u)
@@ -261,6 +270,32 @@
 	})
 }
 
+// countTurn counts a request where the data centres have turns.
+func (s *unevenSim) countTurn(place int, left bool) {
+	if !s.inTurn {
+		return
+	}
+	if s.offered(place) < 2 {
+		s.quiet++
+		if left {
+			s.quietLeft++
+		}
+		return
+	}
+	if s.now.Sub(epoch)%unevenTurn < unevenTurn/3 {
+		s.busySent, s.busyLeft, s.windowEnd = 0, 0, s.now.Add(unevenWindow/2)
+		return
+	}
+	s.busySent++
+	if left {
+		s.busyLeft++
+	}
+	if s.now.After(s.windowEnd) {
+		s.busyWindows = append(s.busyWindows, float64(s.busyLeft)/float64(s.busySent))
+		s.busySent, s.busyLeft, s.windowEnd = 0, 0, s.now.Add(unevenWindow/2)
+	}
+}
+
 func (s *unevenSim) hop(place int, u *unevenUpstream) time.Duration {
 	if place != u.place {
 		return simHop
@@ -335,6 +370,9 @@
 	swing float64
 	// away is the share of the requests that left their data centre, by it.
 	away []float64
+	// quietAway is that of the data centres which are not offered twice their capacity,
+	// busyAway that of the others, and busySwing its standard deviation over windows.
+	quietAway, busyAway, busySwing float64
 }
 
 func (s *unevenSim) result() unevenResult {
@@ -351,6 +389,14 @@
 	for p := range s.places {
 		r.away = append(r.away, float64(s.left[p])/float64(max(s.sent[p], 1)))
 	}
+	r.quietAway = float64(s.quietLeft) / float64(max(s.quiet, 1))
+	if len(s.busyWindows) > 0 {
+		var shares runStatistics
+		for _, share := range s.busyWindows {
+			shares.add(share)
+		}
+		r.busyAway, r.busySwing = shares.sum/shares.n, shares.deviation()
+	}
 	return r
 }
 
@@ -361,14 +407,15 @@
 		for _, window := range s.byWindow[:len(s.byWindow)-1] {
 			runs.add(float64(window[u]))
 		}
-		sum += runs.deviation()
+		sum += runs.deviation() / max(runs.sum/runs.n, 1)
 	}
 	return sum / float64(len(s.upstreams))
 }
 
 func (r unevenResult) String() string {
-	return fmt.Sprintf("p50 %v p99 %v done %d uneven %.2f idle %.4f swing %.2f away %.2f",
-		r.p50.Round(time.Millisecond), r.p99.Round(time.Millisecond), r.done, r.uneven, r.idle, r.swing, r.away)
+	return fmt.Sprintf("p50 %v p99 %v done %d uneven %.2f idle %.4f swing %.2f away %.2f quiet %.2f busy %.2f swing %.3f",
+		r.p50.Round(time.Millisecond), r.p99.Round(time.Millisecond), r.done, r.uneven, r.idle, r.swing, r.away,
+		r.quietAway, r.busyAway, r.busySwing)
 }
 
 // unevenMean is the mean of the results of several seeds.
@@ -384,6 +431,9 @@
 		mean.uneven += r.uneven / seeds
 		mean.idle += r.idle / seeds
 		mean.swing += r.swing / seeds
+		mean.quietAway += r.quietAway / seeds
+		mean.busyAway += r.busyAway / seeds
+		mean.busySwing += r.busySwing / seeds
 		for p := range r.away {
 			mean.away[p] += r.away[p] / seeds
 		}
@@ -464,6 +514,13 @@
 		if got.p99 > before.p99 || float64(got.done) < 0.97*float64(single.done) {
 			t.Errorf("%d data centres, in turn: got %v, want no later than %v, and 0.97 of %d ended", places, got, before, single.done)
 		}
+		if got.busySwing > 0.15 {
+			t.Errorf("%d data centres, in turn: the share that leaves the busy one deviates by %.3f, want at most 0.15", places, got.busySwing)
+		}
+		// Of two, the one that is not busy is offered nothing.
+		if places == 4 && (got.quietAway > 0.15 || got.busyAway < 0.4 || got.busyAway > 0.6) {
+			t.Errorf("in turn: %.2f of the requests left quiet data centres and %.2f the busy one, want at most 0.15 and about half", got.quietAway, got.busyAway)
+		}
 		if places == 4 && (float64(got.p99) > 1.3*float64(single.p99) || got.idle > before.idle) {
 			t.Errorf("%d data centres, in turn: got %v, want p99 at most 1.3 times %v, and no more idle than %.4f", places, got, single.p99, before.idle)
 		}
@@ -623,5 +680,5 @@
 
 func (r *runStatistics) deviation() float64 {
 	mean := r.sum / r.n
-	return math.Sqrt(max(r.squares/r.n-mean*mean, 0)) / max(mean, 1)
+	return math.Sqrt(max(r.squares/r.n-mean*mean, 0))
 }
