--- a/internal/fleet/uneven_test.go
+++ b/internal/fleet/uneven_test.go
@@ -462,6 +462,7 @@
 // slow ones are idle, and against senders that follow the same report: the choice that
 // ignored the reports had 1.7 times the mean utilisation at one upstream.
 func TestUnevenUpstreamsAreEvenlyUsed(t *testing.T) {
+	t.Parallel()
 	for _, load := range []float64{0.5, 0.7, 0.85} {
 		c := unevenCase{places: 1, upstreams: 12, load: load, maxAge: freshReports, reporting: true}
 		single, before, got := unevenMean(c.singleQueue()), unevenMean(c.ignoring()), unevenMean(c)
@@ -477,6 +478,7 @@
 // TestOldReportsCauseNoOscillation guards against senders that all turn to the upstream
 // that was idle half a second ago.
 func TestOldReportsCauseNoOscillation(t *testing.T) {
+	t.Parallel()
 	for _, load := range []float64{0.5, 0.7, 0.85} {
 		c := unevenCase{places: 1, upstreams: 12, load: load, maxAge: oldReports, reporting: true}
 		before, got := unevenMean(c.ignoring()), unevenMean(c)
@@ -491,6 +493,7 @@
 // TestDataCentresShareTheirLoad guards against requests that wait in their data centre
 // while others are idle, and against ones that leave it without need.
 func TestDataCentresShareTheirLoad(t *testing.T) {
+	t.Parallel()
 	for _, places := range []int{2, 4} {
 		c := unevenCase{places: places, upstreams: 6, load: 0.6, maxAge: freshReports, reporting: true}
 		before, got := unevenMean(c.ignoring()), unevenMean(c)
@@ -530,6 +533,7 @@
 // TestMisreportingUpstreamsDoNoHarm guards against reports that keep requests away from
 // idle upstreams, or that draw them to full ones.
 func TestMisreportingUpstreamsDoNoHarm(t *testing.T) {
+	t.Parallel()
 	var frozen upstreamload.Sample
 	reports := map[string]func(at time.Time, s upstreamload.Sample) upstreamload.Sample{
 		"always idle": func(time.Time, upstreamload.Sample) upstreamload.Sample {
