A rejection just now does not end the draw among uneven upstreams

Cause: a rejection within 100 ms raises the doubt of an upstream above the bound from which the lowest cost of all decides; under overload all upstreams reject, so all senders would have chosen the same one. Change: a rejected upstream counts as full only.

--- a/internal/fleet/uneven.go
+++ b/internal/fleet/uneven.go
@@ -195,7 +195,11 @@
 	if e.load.Cold {
 		value *= warmupFactor
 	}
-	return cost{full: use > fullUse || doubt > maxDoubt, doubtful: doubt > maxDoubt, value: value}
+	answers := doubt
+	if c.now.Sub(e.rejectedAt) < rejectPeriod { // it has answered, and is full
+		answers /= rejectFactor
+	}
+	return cost{full: use > fullUse || doubt > maxDoubt, doubtful: answers > maxDoubt, value: value}
 }
 
 // expectedBusy is the number of requests to expect at the upstream. Of those that were
--- a/internal/fleet/uneven_test.go
+++ b/internal/fleet/uneven_test.go
@@ -658,6 +658,30 @@
 	}
 }
 
+// TestRejectionsDoNotEndTheDraw guards against overloaded upstreams that all reject, so
+// that all senders turn to the same lowest cost.
+func TestRejectionsDoNotEndTheDraw(t *testing.T) {
+	f := New("west")
+	for i := range 6 {
+		vm := fmt.Sprint("vm-", i)
+		f.Put(Upstream{VM: vm, Service: "span", Datacentre: "west", Instance: vm, Slots: 10, Ready: true})
+		f.SetLinked(vm, true)
+		load := reporting(vm, 1, 1, 1)
+		load.InFlight, load.Waiting = 10, i
+		c, _ := f.Pick(epoch, Query{Service: "span", Kind: "k", Only: vm})
+		f.Done(epoch, c, Result{Verdict: contract.NotRun, Reason: contract.ReasonUpstreamRefused, Kind: "k", Load: &load})
+	}
+	chosen := make(map[string]int)
+	for i := range 300 {
+		if e := f.pickDrawn(epoch, Query{Service: "span", Kind: "k", Random: nextRandom(uint64(i))}); e != nil {
+			chosen[e.VM]++
+		}
+	}
+	if len(chosen) < 5 || chosen["vm-0"] > 150 {
+		t.Errorf("got %v, want draws among upstreams of which all have just rejected a request", chosen)
+	}
+}
+
 // TestDrawnUpstreamsThatMayNotAnswerAreAvoided guards against orders that are lost
 // because both drawn upstreams fail while another one answers.
 func TestDrawnUpstreamsThatMayNotAnswerAreAvoided(t *testing.T) {
