Choice among uneven upstreams: cheaper test for a rejection; health check test

Cause: subtracting from a time without a monotonic reading takes the slow path, three times a cost. Change: an upstream that has never rejected is not asked for how long ago.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -171,7 +171,7 @@
 // doubt is the factor by which the cost grows because requests may not be answered.
 func (e *entry) doubt(now time.Time, q Query, expected time.Duration) float64 {
 	doubt := 1 + q.failureFactor()*e.failureRate(now)
-	if now.Sub(e.rejectedAt) < rejectPeriod {
+	if e.rejects(now) {
 		doubt *= rejectFactor
 	}
 	if e.unresponsive(now, expected) {
@@ -180,6 +180,11 @@
 	return doubt
 }
 
+// rejects reports whether an attempt has just ended as "not run".
+func (e *entry) rejects(now time.Time) bool {
+	return !e.rejectedAt.IsZero() && now.Sub(e.rejectedAt) < rejectPeriod
+}
+
 func (q *Query) failureFactor() float64 {
 	if q.Order {
 		return orderFailureFactor
--- a/internal/fleet/uneven.go
+++ b/internal/fleet/uneven.go
@@ -196,7 +196,7 @@
 		value *= warmupFactor
 	}
 	answers := doubt
-	if c.now.Sub(e.rejectedAt) < rejectPeriod { // it has answered, and is full
+	if e.rejects(c.now) { // it has answered, and is full
 		answers /= rejectFactor
 	}
 	return cost{full: use > fullUse || doubt > maxDoubt, doubtful: answers > maxDoubt, value: value}
--- a/internal/sidecar/upstreamload_test.go
+++ b/internal/sidecar/upstreamload_test.go
@@ -104,6 +104,22 @@
 	}
 }
 
+// TestHealthCheckReportsLoad guards against a report of a health check that is lost.
+func TestHealthCheckReportsLoad(t *testing.T) {
+	t.Parallel()
+	const healthPath = "/health"
+	_, far, _ := startReporting(t, true)
+	far.up.setHealth(healthPath, func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set(platformtest.HeaderLoad, "0,0,4,300")
+	})
+	if !far.node.checkHealth(t.Context(), healthPath) {
+		t.Fatal("health check not passed")
+	}
+	if got := far.node.load("far").Upstream; got.GetSequence() != 1 || got.GetPacePermille() != 3000 {
+		t.Errorf("got %v, want the load that the health check has reported", got)
+	}
+}
+
 // TestWithoutTheSettingNothingIsReported guards against messages that change in
 // deployments that have not asked for it, whose upstreams report as well.
 func TestWithoutTheSettingNothingIsReported(t *testing.T) {
