--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -46,18 +46,41 @@
 
 // Pick chooses the upstream of the service with the lowest cost among those that
 // have room, or else the one that has most, and counts a request as outstanding
-// there until Done. It returns false if no upstream of the service outside q.Exclude
+// there until Done. If upstreams of the service report their load, it compares a few
+// that are drawn, see uneven.go. It returns false if no upstream of the service outside q.Exclude
 // can take requests.
 func (f *Fleet) Pick(now time.Time, q Query) (Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	best := f.pickDrawn(now, q)
+	if best == nil {
+		best = f.pickLowest(now, q)
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	if best.outstanding == 0 {
+		best.waitingSince = now
+	}
+	best.outstanding++
+	best.sent++
+	return Choice{
+		Upstream: best.Upstream,
+		Report:   best.heard(),
+		NoWait:   best.limits() && f.hasUnlimited(q),
+		e:        best,
+	}, true
+}
+
+// pickLowest returns the candidate with the lowest cost, or nil if there is none.
+func (f *Fleet) pickLowest(now time.Time, q Query) *entry {
 	service := f.kindLatency(now, q)
 	unlimited := f.hasUnlimited(q)
 	random := q.Random
 	var best *entry
 	var lowest cost
 	for _, e := range f.byService[q.Service] {
-		if !e.isCandidate(q) || unlimited && e.passedOver(now, q) {
+		if !e.isCandidate(&q) || unlimited && e.passedOver(now, &q) {
 			continue
 		}
 		random = nextRandom(random)
@@ -67,25 +90,12 @@
 			best, lowest = e, c
 		}
 	}
-	if best == nil {
-		return Choice{}, false
-	}
-	if best.outstanding == 0 {
-		best.waitingSince = now
-	}
-	best.outstanding++
-	best.sent++
-	return Choice{
-		Upstream: best.Upstream,
-		Report:   best.heard(),
-		NoWait:   unlimited && best.heard().Limited,
-		e:        best,
-	}, true
+	return best
 }
 
 // isCandidate reports whether a request may be sent to the upstream.
-func (e *entry) isCandidate(q Query) bool {
-	return e.usable() && !slices.Contains(q.Exclude, e.VM) && (q.Only == "" || q.Only == e.VM)
+func (e *entry) isCandidate(q *Query) bool {
+	return e.usable() && !(len(q.Exclude) > 0 && slices.Contains(q.Exclude, e.VM)) && (q.Only == "" || q.Only == e.VM)
 }
 
 // Owner returns the VM, of those with a usable upstream of the service, that
@@ -108,16 +118,21 @@
 
 // hasUnlimited reports whether some candidate names no limit.
 func (f *Fleet) hasUnlimited(q Query) bool {
-	return slices.ContainsFunc(f.byService[q.Service], func(e *entry) bool {
-		return e.isCandidate(q) && !e.heard().Limited
-	})
+	for _, e := range f.byService[q.Service] {
+		if e.isCandidate(&q) && !e.limits() {
+			return true
+		}
+	}
+	return false
 }
 
 // cost ranks an upstream for one request.
 type cost struct {
 	// full reports that no room is expected there.
-	full  bool
-	value float64
+	full bool
+	// doubtful reports that requests may not be answered there.
+	doubtful bool
+	value    float64
 }
 
 // less reports whether an upstream is chosen before another one. One that is full is
@@ -156,7 +171,7 @@
 // doubt is the factor by which the cost grows because requests may not be answered.
 func (e *entry) doubt(now time.Time, q Query, expected time.Duration) float64 {
 	doubt := 1 + q.failureFactor()*e.failureRate(now)
-	if now.Sub(e.rejectedAt) < rejectPeriod {
+	if e.rejects(now) {
 		doubt *= rejectFactor
 	}
 	if e.unresponsive(now, expected) {
@@ -165,6 +180,11 @@
 	return doubt
 }
 
+// rejects reports whether an attempt has just ended as "not run".
+func (e *entry) rejects(now time.Time) bool {
+	return !e.rejectedAt.IsZero() && now.Sub(e.rejectedAt) < rejectPeriod
+}
+
 func (q *Query) failureFactor() float64 {
 	if q.Order {
 		return orderFailureFactor
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,6 +14,7 @@
 
 	"heathershed/internal/contract"
 	"heathershed/internal/vm/instance"
+	"heathershed/internal/vm/upstreamload"
 )
 
 // Upstream is an upstream as announced by the node beside it.
@@ -44,6 +45,9 @@
 	// PacedUntil is when the limit that the upstream names has room for another
 	// request; zero if it has room now.
 	PacedUntil time.Time
+	// Upstream is the load that the upstream itself reports, as the node beside it has
+	// smoothed it.
+	Upstream upstreamload.Report
 	// Report is what the node beside the upstream has heard of the instance.
 	Report instance.Report
 }
@@ -86,6 +90,7 @@
 // entry is the state of one upstream.
 type entry struct {
 	Upstream
+	side   side
 	linked bool
 	load   Load
 	loadAt time.Time
@@ -105,6 +110,8 @@
 	// report is the newest one of the VM, also if Instance is not known.
 	report  instance.Report
 	backoff limitBackoff
+	// reported is the newest load that the instance reports itself.
+	reported reported
 }
 
 // Fleet holds the upstreams that a node knows. It is safe for concurrent use.
@@ -115,6 +122,8 @@
 	mu        sync.Mutex
 	byVM      map[string]*entry
 	byService map[string][]*entry
+	// reportedAt is when an upstream of a service was last heard to report its load.
+	reportedAt map[string]time.Time
 }
 
 // New returns an empty Fleet for a node in the data centre.
@@ -123,6 +132,7 @@
 		datacentre: datacentre,
 		byVM:       make(map[string]*entry),
 		byService:  make(map[string][]*entry),
+		reportedAt: make(map[string]time.Time),
 	}
 }
 
@@ -144,6 +154,10 @@
 		f.byService[u.Service] = append(f.byService[u.Service], e)
 	}
 	e.Upstream = u
+	e.side = far
+	if u.Datacentre == f.datacentre {
+		e.side = near
+	}
 	e.load.Draining = false
 }
 
@@ -183,16 +197,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if e := f.byVM[vm]; e != nil {
-		e.setLoad(now, load)
-		e.overall = latency{load.Latency, now}
+		f.setLoad(now, e, load)
+		e.overall = latency{value: load.Latency, at: now}
 	}
 	return f.hear(vm, load.Report)
 }
 
 // setLoad replaces the load by a newer one.
-func (e *entry) setLoad(now time.Time, load Load) {
+func (f *Fleet) setLoad(now time.Time, e *entry, load Load) {
 	e.load, e.loadAt = load, now
 	e.sent = 0
+	f.hearLoad(now, e, load)
 	if load.Slots > 0 {
 		e.Slots = load.Slots
 	}
@@ -208,9 +223,9 @@
 	e.waitingSince = now
 	if r.Load != nil {
 		isNews = f.hear(e.VM, r.Load.Report)
-		e.setLoad(now, *r.Load)
+		f.setLoad(now, e, *r.Load)
 		if r.Load.Latency > 0 {
-			e.latency[r.Kind] = latency{r.Load.Latency, now}
+			e.latency[r.Kind] = latency{r.Load.Latency, now, r.Load.Upstream.RunPace}
 		}
 	} else {
 		e.sent = max(e.sent-1, 0)
@@ -257,5 +272,5 @@
 // reports draining is valid only until the next one: loads of one node arrive
 // over several paths, and an old one may arrive last.
 func (e *entry) usable() bool {
-	return e.linked && e.Ready && !e.load.Draining && !e.heard().Leaving
+	return e.linked && e.Ready && !e.load.Draining && !(e.report.Leaving && e.report.Instance == e.Instance)
 }
--- a/internal/fleet/latency.go
+++ b/internal/fleet/latency.go
@@ -26,6 +26,8 @@
 type latency struct {
 	value time.Duration
 	at    time.Time
+	// runPace is the mean pace that the upstream reported of the runs; 0: none.
+	runPace float64
 }
 
 // weight is what the latency counts after some time, from 1 to 0.
@@ -75,7 +77,7 @@
 	if !known {
 		return service.lowest
 	}
-	if e.heard().Limited {
+	if e.limits() {
 		left := math.Exp2(-now.Sub(l.at).Seconds() / limitedHalfLife.Seconds())
 		return time.Duration(float64(l.value) * left)
 	}
--- a/internal/fleet/peers_test.go
+++ b/internal/fleet/peers_test.go
@@ -40,7 +40,7 @@
 		t.Errorf("got %+v, %v; want the medians of a, b and c, 120ms and 0.1", p, known)
 	}
 	f.mu.Lock()
-	f.byVM["b"].setLoad(now, Load{Slots: 10, Latency: time.Millisecond, LossRate: 0.1}) // of one kind, with a reply
+	f.setLoad(now, f.byVM["b"], Load{Slots: 10, Latency: time.Millisecond, LossRate: 0.1}) // of one kind, with a reply
 	f.mu.Unlock()
 	if p, _ := f.Peers(now, service, "own"); p.Latency != 120*time.Millisecond {
 		t.Errorf("got a latency of %v, want that of all kinds, 120ms", p.Latency)
