--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -58,6 +58,16 @@
 	return nil
 }
 
+// PID returns the id of the running process; 0 if it is not running.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // Signal sends a signal. It does nothing where the process is not running.
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
