Ingress: one byte budget for bodies, reserved as they are read

Cause: each connection held its body without a bound over all of them, and a declared length was allocated at once. Change: the sidecar's ingress reads bodies itself (internal/ingress/body.go) within a budget of an eighth of the memory (internal/memory). Lookups leave a quarter of it to orders; a transfer without progress gives way. 413 for a declared length before the body is read, 408 below a minimum rate, 503 without memory. maxBodyBytes of the active configuration holds up to 9 MiB. Connections are bounded by memory and descriptors, answers that are written to clients by a budget (internal/ingress/guard.go). Bodies are not copied on the way to the upstream.

--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync/atomic"
 	"time"
@@ -15,14 +16,21 @@
 	"github.com/valyala/fasthttp"
 
 	"heathershed/internal/endpoint"
+	"heathershed/internal/memory"
 )
 
 const (
-	// maxBody bounds the body of a request in bytes before its kind is known.
+	// maxBody bounds the body of a request in bytes where the HTTP library reads it.
 	maxBody = 8 << 20
+	// MaxBody bounds the body of a request in bytes where the server reads it; the
+	// limit that its options give may be lower.
+	MaxBody = 9 << 20
+	// maxStreamed lets the HTTP library pass on all bodies where the server reads
+	// them.
+	maxStreamed = math.MaxInt32
 	// maxRequest bounds what is read for one request in bytes: the body, an eighth
 	// of that for chunk sizes and extensions, and the header.
-	maxRequest = maxBody + maxBody/8 + 64<<10
+	maxRequest = MaxBody + MaxBody/8 + 64<<10
 	// readTimeout bounds the time that a caller takes to send a request.
 	readTimeout = 10 * time.Second
 	// writeTimeout bounds the time that a caller takes to read an answer.
@@ -38,6 +46,7 @@
 // Server serves callers. The zero value is not usable; see New.
 type Server struct {
 	http     *fasthttp.Server
+	options  Options
 	draining atomic.Bool
 }
 
@@ -49,6 +58,14 @@
 	// IdleTimeout is how long a connection without requests stays open. The
 	// default is 90 s.
 	IdleTimeout time.Duration
+	// Bodies makes the server read bodies within a budget. The default is to let the
+	// HTTP library read them. The body that a handler gets stays valid after it.
+	Bodies *BodyOptions
+	// Responses bounds the bytes of the answers that wait to be read by their
+	// clients. The default is no bound.
+	Responses *memory.Budget
+	// MaxConns bounds the open connections. The default is no bound.
+	MaxConns int
 	// Log receives the errors that end connections. The default is standard
 	// error.
 	Log fasthttp.Logger
@@ -62,7 +79,7 @@
 	if o.IdleTimeout <= 0 {
 		o.IdleTimeout = idleTimeout
 	}
-	s := &Server{}
+	s := &Server{options: o}
 	s.http = &fasthttp.Server{
 		Handler:                      func(rc *fasthttp.RequestCtx) { s.serve(rc, handle) },
 		Name:                         "heathershed",
@@ -79,13 +96,32 @@
 		CloseOnShutdown:              true,
 		SecureErrorLogMessage:        true, // what a client sent may contain its key
 	}
+	if o.Bodies != nil {
+		s.http.StreamRequestBody = true
+		s.http.MaxRequestBodySize = maxStreamed
+		s.http.HeaderReceived = o.Bodies.checkLength
+	}
 	return s
 }
 
 func (s *Server) serve(rc *fasthttp.RequestCtx, handle Handler) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if s.options.Bodies != nil {
+		body, release, err := s.options.Bodies.read(rc)
+		defer release()
+		if err != nil {
+			rc.SetConnectionClose() // the rest of the body is not read
+			s.options.Bodies.Refuse(rc, err)
+			return
+		}
+		rc.Request.SetBodyRaw(body)
+		defer rc.Request.ResetBody() // the answer may wait for its client much longer
+	}
 	if c, ok := rc.Conn().(*watchedConn); ok {
+		if g, ok := c.Conn.(*guardedConn); ok {
+			g.setBusy(true)
+		}
 		c.watch(cancel)
 		defer c.unwatch()
 	}
@@ -97,7 +133,7 @@
 
 // Serve accepts connections on ln until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(watchedListener{endpoint.Bounded(ln, maxRequest)})
+	return s.http.Serve(watchedListener{newGuard(endpoint.Bounded(ln, maxRequest), s.options.Responses, s.options.MaxConns)})
 }
 
 // Drain moves callers to other nodes: from now on each answer closes its
--- /dev/null
+++ b/internal/sidecar/bodies.go
@@ -0,0 +1,135 @@
+package sidecar
+
+import (
+	"fmt"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	linkpb "heathershed/api/link"
+	"heathershed/internal/contract"
+	"heathershed/internal/ingress"
+	"heathershed/internal/memory"
+	"heathershed/internal/outcome"
+	"heathershed/platform"
+)
+
+const (
+	// bodyMemoryDivisor gives the part of the memory that the bodies of requests hold
+	// together, responseMemoryDivisor that of the answers that wait to be read by
+	// their clients. A large body is copied once for its link.
+	bodyMemoryDivisor     = 8
+	responseMemoryDivisor = 8
+	// minBodyMemory lets one lookup of the largest size in.
+	minBodyMemory = 12 << 20
+	// bodyStall and responseStall are the times without progress after which a body
+	// that is received, or an answer that is read, gives way to another one.
+	bodyStall     = time.Second
+	responseStall = 250 * time.Millisecond
+	// defaultMaxBody bounds the body of a request in bytes where the configuration
+	// has no limit.
+	defaultMaxBody = 8 << 20
+	// connMemoryDivisor gives the part of the memory that the buffers of clients'
+	// connections may take, and connMemory what one takes, in bytes: the read buffer
+	// and stacks.
+	connMemoryDivisor = 4
+	connMemory        = 32 << 10
+	// descriptorDivisor gives the part of the process's descriptors that clients'
+	// connections may take.
+	descriptorDivisor = 2
+)
+
+// budgets are the bounds on the memory of requests and responses.
+type budgets struct{ bodies, responses *memory.Budget }
+
+func newBudgets(size int64) budgets {
+	return budgets{
+		bodies:    memory.New(max(size/bodyMemoryDivisor, minBodyMemory), bodyStall),
+		responses: memory.New(max(size/responseMemoryDivisor, minBodyMemory), responseStall),
+	}
+}
+
+// maxClientConns returns the bound on the connections of clients, for a process that
+// has the given memory.
+func maxClientConns(size int64) int {
+	most := int(size / connMemoryDivisor / connMemory)
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil {
+		most = min(most, int(min(limit.Cur, 1<<30))/descriptorDivisor)
+	}
+	return most
+}
+
+// ingressOptions returns the options of the server for clients.
+func (n *Node) ingressOptions() ingress.Options {
+	return ingress.Options{
+		HeaderBytes: maxHeaderBytes,
+		IdleTimeout: clientIdleTimeout,
+		Log:         connLog{n.log},
+		Bodies: &ingress.BodyOptions{
+			Budget:  n.budgets.bodies,
+			Limit:   n.maxBody,
+			IsOrder: n.isOrder,
+			Refuse:  n.refuseBody,
+		},
+		Responses: n.budgets.responses,
+		MaxConns:  maxClientConns(n.cfg.Memory),
+	}
+}
+
+// maxBody returns the bound on the body of a request in bytes: that of the active
+// configuration, as far as the memory and a link's message allow.
+func (n *Node) maxBody() int {
+	limit := defaultMaxBody
+	if table := n.table.Load(); table != nil && table.Limits.BodyBytes > 0 {
+		limit = table.Limits.BodyBytes
+	}
+	return min(limit, ingress.MaxBody, int(n.budgets.bodies.LargestLookup()))
+}
+
+// isOrder reports whether a request matches a route for orders. Without a route it
+// is none, and will be rejected.
+func (n *Node) isOrder(rc *fasthttp.RequestCtx) bool {
+	table := n.table.Load()
+	if table == nil {
+		return false
+	}
+	path, _, _ := strings.Cut(string(rc.RequestURI()), "?")
+	route, ok := table.Match(string(rc.Host()), path)
+	return ok && !route.Idempotent
+}
+
+// refuseBody answers a request whose body was not read completely. It has not run.
+func (n *Node) refuseBody(rc *fasthttp.RequestCtx, err error) {
+	now := time.Now()
+	c := &call{received: now, deadline: now.Add(defaultTimeout)}
+	if in, err := platform.ReadInbound(&rc.Request.Header); err == nil {
+		c.attempt = in.Attempt
+	}
+	reply := n.bodyRefusal(rc, err)
+	n.writeLocalReply(rc, c, reply)
+	if err == ingress.ErrBodySlow {
+		rc.SetStatusCode(fasthttp.StatusRequestTimeout)
+	}
+	n.metrics.calls.Record(reply, 0)
+	n.metrics.countEnd(c, reply)
+	n.logEnd(c, reply, 0)
+}
+
+func (n *Node) bodyRefusal(rc *fasthttp.RequestCtx, err error) *linkpb.CallReply {
+	switch err {
+	case ingress.ErrBodyTooLarge:
+		size := "more bytes"
+		if declared := ingress.DeclaredLength(&rc.Request.Header); declared > 0 {
+			size = fmt.Sprint(declared, " bytes")
+		}
+		return outcome.NotRunReply(contract.ReasonTooLarge, fmt.Sprintf("body of %s, %d are allowed", size, n.maxBody()))
+	case ingress.ErrNoMemory:
+		return outcome.NotRunReply(contract.ReasonOverload, "no memory is left for the body")
+	case ingress.ErrBodySlow:
+		return outcome.NotRunReply(contract.ReasonDeadline, "the body was not received in time")
+	}
+	return outcome.NotRunReply(contract.ReasonBadRequest, "the body is incomplete or malformed")
+}
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -133,7 +133,7 @@
 	}
 	c.method = string(rc.Method())
 	c.headers = ingress.CopyHeadersIf(&rc.Request.Header, c.forwardsHeader)
-	c.body = append([]byte(nil), rc.Request.Body()...)
+	c.body = rc.Request.Body() // read by the ingress for this request alone
 	return c, nil
 }
 
@@ -235,7 +235,7 @@
 		status = fasthttp.StatusBadGateway
 	}
 	rc.SetStatusCode(status)
-	rc.SetBody(reply.Body)
+	rc.Response.SetBodyRaw(reply.Body) // the reply is this request's alone
 }
 
 // impliesNotRun reports whether clients take a status to mean that the request
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -101,6 +101,7 @@
 	correlation  *correlation.Tracker
 	callers      *callers.Tracker
 	pressure     *pressure.Table
+	budgets      budgets
 	budget       *budget
 	losses       losses.Tracker // of the local upstream
 	lostRuns     lostRuns
@@ -171,6 +172,7 @@
 		correlation:    correlation.New(),
 		callers:        callers.New(),
 		pressure:       pressure.New(),
+		budgets:        newBudgets(cfg.Memory),
 		budget:         newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
 		poison:         poison.New(),
 		metrics:        newMetrics(),
@@ -189,7 +191,7 @@
 	n.requestsCtx, n.cancelRequests = context.WithCancel(context.Background())
 	n.target = newTarget(n)
 	n.peers = newPeers(n)
-	n.ingress = ingress.NewWithOptions(ingress.Options{HeaderBytes: maxHeaderBytes, IdleTimeout: clientIdleTimeout, Log: connLog{log}}, n.serveClient)
+	n.ingress = ingress.NewWithOptions(n.ingressOptions(), n.serveClient)
 	n.ready = newPlatformServer(n.serveReady, log)
 	n.heartbeats = newPlatformServer(n.serveHeartbeat, log)
 	n.metricsServer = &http.Server{Handler: n.metrics.handler(), ReadHeaderTimeout: scrapeTimeout}
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -168,7 +168,7 @@
 		Caller:    req.FromService,
 		Workspace: req.Workspace,
 	})
-	hreq.SetBody(req.Body)
+	hreq.SetBodyRaw(req.Body) // not copied: it may be large
 }
 
 // observeOutcome updates the state of the upstream: a request answered by
