Answers keep their share of the memory until they have been passed on

Cause: an answer of the upstream gave its share back once it was read, and then waited for its link or client beside others without a bound. Change: the share is held until the client's answer is written, or the transport of the link has released the encoded reply (internal/link/sent.go), or the call's time is over.

--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"heathershed/internal/memory"
 )
 
@@ -17,6 +19,9 @@
 	writeStep = 32 << 10
 )
 
+// errNoResponseMemory ends a connection whose answer finds no memory to wait in.
+var errNoResponseMemory = errors.New("no memory is left for an answer that its client does not read")
+
 // guard bounds the connections of a server, and the answers that wait to be read by
 // their clients.
 type guard struct {
@@ -118,9 +123,9 @@
 	}
 	claim := c.guard.responses.Claim(time.Now(), false, func() { _ = c.Conn.Close() })
 	defer claim.Release()
-	if err := reserve(claim, len(p)); err != nil {
+	if reserve(claim, len(p)) != nil {
 		_ = c.Conn.Close() // part of the answer may have been written
-		return 0, err
+		return 0, errNoResponseMemory
 	}
 	written := 0
 	for written < len(p) {
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -71,6 +71,7 @@
 	traffic       *Traffic
 	heartbeatLoop *heartbeatLoop
 	grpc          *grpc.Server
+	replies       *replyCodec
 	ctx           context.Context
 	cancel        context.CancelFunc
 
@@ -90,9 +91,11 @@
 		traffic:       t,
 		heartbeatLoop: newHeartbeatLoop(),
 		sessions:      make(map[string]*Session),
+		replies:       newReplyCodec(),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.grpc = grpc.NewServer(
+		grpc.ForceServerCodecV2(s.replies),
 		grpc.MaxRecvMsgSize(MaxMessage),
 		grpc.MaxSendMsgSize(MaxMessage),
 		grpc.InitialWindowSize(windowSize),
@@ -116,7 +119,9 @@
 	if session := s.sessionOf(ctx); session != nil {
 		session.callReceived()
 	}
-	reply := s.handler.Call(ctx, req)
+	var onSent func()
+	reply := s.handler.Call(context.WithValue(ctx, onSentKey{}, &onSent), req)
+	s.replies.expect(reply, onSent, timeLeft(ctx)+sentMargin)
 	reply.BodyLength = uint64(len(reply.Body))
 	return reply, nil
 }
--- a/internal/sidecar/bodies.go
+++ b/internal/sidecar/bodies.go
@@ -21,7 +21,7 @@
 	// together, responseMemoryDivisor that of the answers that wait to be read by
 	// their clients. A large body is copied once for its link.
 	bodyMemoryDivisor     = 8
-	responseMemoryDivisor = 8
+	responseMemoryDivisor = 16
 	// minBodyMemory lets one lookup of the largest size in.
 	minBodyMemory = 12 << 20
 	// bodyStall and responseStall are the times without progress after which a body
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -19,6 +19,7 @@
 	"heathershed/internal/outcome"
 	"heathershed/internal/poison"
 	"heathershed/internal/routes"
+	"heathershed/internal/upstream"
 	"heathershed/internal/workspace"
 	"heathershed/platform"
 )
@@ -70,6 +71,8 @@
 func (n *Node) serveClient(ctx context.Context, rc *fasthttp.RequestCtx) {
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
+	ctx, held := upstream.WithHeld(ctx)
+	defer held.Release()
 	began := time.Now()
 	c, reply := n.accept(rc, began)
 	if reply == nil {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -53,9 +53,9 @@
 	// clientIdleTimeout is how long a client's connection may stay idle. It is
 	// above the idle time that operators allow clients.
 	clientIdleTimeout = 60 * time.Second
-	// answerMemoryDivisor gives the part of the memory that answers may hold while
-	// they are read. Each of them is copied a few times before it is delivered.
-	answerMemoryDivisor = 16
+	// answerMemoryDivisor gives the part of the memory that answers of the upstream
+	// may hold until they have been passed on. Each is copied once for its link.
+	answerMemoryDivisor = 8
 	// platformBody bounds the body of a heartbeat or of a readiness check, and
 	// platformRequest all that is read for one, in bytes.
 	platformBody    = 16 << 10
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -9,6 +9,7 @@
 
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
+	"heathershed/internal/link"
 	"heathershed/internal/outcome"
 	"heathershed/internal/upstream"
 	"heathershed/internal/vm/correlation"
@@ -21,7 +22,12 @@
 func (n *Node) Call(ctx context.Context, req *linkpb.CallRequest) *linkpb.CallReply {
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
-	return n.serveLocal(ctx, req)
+	ctx, held := upstream.WithHeld(ctx)
+	reply := n.serveLocal(ctx, req)
+	if !link.OnSent(ctx, held.Release) {
+		held.Release()
+	}
+	return reply
 }
 
 // serveLocal runs a call at the local upstream if the scheduler admits it. The
--- a/internal/upstream/memory.go
+++ b/internal/upstream/memory.go
@@ -38,28 +38,35 @@
 // readAll reads a body of up to most bytes. length is its length, or negative if
 // that is unknown. A body of known length waits until there is memory for it, all of
 // the memory if it is larger; one of unknown length, which might have no end, fails
-// if there is not enough.
+// if there is not enough. The share of a body that was read is passed to the Held of
+// the context, if there is one.
 func (m *memory) readAll(ctx context.Context, r io.Reader, length, most int) ([]byte, error) {
 	if length > most {
 		return nil, fasthttp.ErrBodyTooLarge
 	}
+	kept := heldIn(ctx)
+	kept.keep(nil, 0) // of an answer that was read before
 	if length < 0 {
-		return m.readUnknown(r, most)
+		return m.readUnknown(r, most, kept)
 	}
 	held := min(share(length), m.size)
 	if err := m.left.Acquire(ctx, held); err != nil {
 		return nil, err
 	}
-	defer m.left.Release(held)
 	body := make([]byte, length)
 	_, err := io.ReadFull(r, body)
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
-	return body, err
+	if err != nil {
+		m.left.Release(held)
+		return body, err
+	}
+	kept.keep(m, held)
+	return body, nil
 }
 
-func (m *memory) readUnknown(r io.Reader, most int) ([]byte, error) {
+func (m *memory) readUnknown(r io.Reader, most int, kept *Held) ([]byte, error) {
 	held := int64(0)
 	defer func() { m.left.Release(held) }()
 	body := make([]byte, 0, min(firstBytes, most+1))
@@ -70,6 +77,8 @@
 		case len(body) > most:
 			return nil, fasthttp.ErrBodyTooLarge
 		case errors.Is(err, io.EOF):
+			kept.keep(m, held)
+			held = 0
 			return body, nil
 		case err != nil:
 			return nil, err
