--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -25,31 +25,44 @@
 // guard bounds the connections of a server, and the answers that wait to be read by
 // their clients.
 type guard struct {
-	net.Listener
 	// responses is nil for no bound, and most 0.
 	responses *memory.Budget
 	most      int
 
 	mu   sync.Mutex
 	open map[*guardedConn]struct{}
-	// evicted and refused count connections since the start.
-	evicted, refused int64
+	// closed counts the connections that were closed at the bound.
+	closed int64
+}
+
+func newGuard(responses *memory.Budget, most int) *guard {
+	return &guard{responses: responses, most: most, open: make(map[*guardedConn]struct{})}
 }
 
-func newGuard(ln net.Listener, responses *memory.Budget, most int) *guard {
-	return &guard{Listener: ln, responses: responses, most: most, open: make(map[*guardedConn]struct{})}
+// stats returns the open connections, and how many were closed at the bound since the
+// start.
+func (g *guard) stats() (open int, closed int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.open), g.closed
+}
+
+// guardedListener is a listener whose connections belong to a guard.
+type guardedListener struct {
+	net.Listener
+	guard *guard
 }
 
 // Accept implements net.Listener. At the bound it closes the connection that has been
 // without a complete request for the longest time, or the new one if there is none.
-func (g *guard) Accept() (net.Conn, error) {
+func (l guardedListener) Accept() (net.Conn, error) {
 	for {
-		c, err := g.Listener.Accept()
+		c, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		conn := &guardedConn{Conn: c, guard: g, since: time.Now()}
-		if g.add(conn) {
+		conn := &guardedConn{Conn: c, guard: l.guard, since: time.Now()}
+		if l.guard.add(conn) {
 			return conn, nil
 		}
 		_ = c.Close() // nothing was sent on it
@@ -61,12 +74,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.most > 0 && len(g.open) >= g.most {
+		g.closed++
 		oldest := g.oldest()
 		if oldest == nil {
-			g.refused++
 			return false
 		}
-		g.evicted++
 		delete(g.open, oldest)
 		_ = oldest.Conn.Close() // its reader sees the error
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -47,6 +47,7 @@
 type Server struct {
 	http     *fasthttp.Server
 	options  Options
+	guard    *guard
 	draining atomic.Bool
 }
 
@@ -79,7 +80,7 @@
 	if o.IdleTimeout <= 0 {
 		o.IdleTimeout = idleTimeout
 	}
-	s := &Server{options: o}
+	s := &Server{options: o, guard: newGuard(o.Responses, o.MaxConns)}
 	s.http = &fasthttp.Server{
 		Handler:                      func(rc *fasthttp.RequestCtx) { s.serve(rc, handle) },
 		Name:                         "heathershed",
@@ -133,9 +134,13 @@
 
 // Serve accepts connections on ln until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(watchedListener{newGuard(endpoint.Bounded(ln, maxRequest), s.options.Responses, s.options.MaxConns)})
+	return s.http.Serve(watchedListener{guardedListener{endpoint.Bounded(ln, maxRequest), s.guard}})
 }
 
+// Connections returns the number of open connections, and of those that were closed
+// since the start because there were too many.
+func (s *Server) Connections() (open int, closed int64) { return s.guard.stats() }
+
 // Drain moves callers to other nodes: from now on each answer closes its
 // connection. Requests are still served.
 func (s *Server) Drain() { s.draining.Store(true) }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -35,8 +35,8 @@
 func Milliseconds(d time.Duration) uint32 { return uint32(max(d, 0).Milliseconds()) }
 
 // UpstreamReply returns the reply of a call that was handed to the upstream. If
-// the call ran, the reply carries the body of the answer and copies of those headers
-// for which pass returns true.
+// the call ran, the reply takes the body of the answer, which may be large, and copies
+// those headers for which pass returns true.
 func UpstreamReply(out upstream.Outcome, answer *fasthttp.Response, pass func(name []byte) bool) *linkpb.CallReply {
 	reply := Reply(out.Verdict, out.Reason, out.Detail)
 	reply.RetryAfterMs = Milliseconds(out.RetryAfter)
@@ -45,7 +45,8 @@
 	}
 	reply.Status = uint32(answer.StatusCode())
 	reply.Headers = ingress.CopyHeadersIf(&answer.Header, pass)
-	reply.Body = answer.Body() // read for this reply alone, see upstream.Client
+	reply.Body = answer.Body()
+	answer.SwapBody(nil) // the answer keeps nothing that it might use again
 	return reply
 }
 
--- a/internal/sidecar/bodies.go
+++ b/internal/sidecar/bodies.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 
 	linkpb "heathershed/api/link"
@@ -51,6 +52,43 @@
 	}
 }
 
+// memoryGauges are the metrics of the memory that requests and responses hold, and of
+// clients' connections. Those that end in Seen are the totals reported before.
+type memoryGauges struct {
+	bodies, responses, connections            tally.Gauge
+	aborted, refused, connsClosed             tally.Counter
+	abortedSeen, refusedSeen, connsClosedSeen int64
+}
+
+func newMemoryGauges(scope tally.Scope) *memoryGauges {
+	return &memoryGauges{
+		bodies:      scope.Gauge("request_memory_bytes"),
+		responses:   scope.Gauge("response_memory_bytes"),
+		connections: scope.Gauge("client_connections"),
+		aborted:     scope.Counter("transfers_aborted"),
+		refused:     scope.Counter("transfers_refused"),
+		connsClosed: scope.Counter("client_connections_closed"),
+	}
+}
+
+// updateMemory sets the metrics of memory and connections. It is called by one task.
+func (n *Node) updateMemory() {
+	m := n.metrics.memory
+	bodies, bodiesAborted, bodiesRefused := n.budgets.bodies.Stats()
+	responses, responsesAborted, responsesRefused := n.budgets.responses.Stats()
+	open, closed := n.ingress.Connections()
+	m.bodies.Update(float64(bodies))
+	m.responses.Update(float64(responses))
+	m.connections.Update(float64(open))
+	add := func(c tally.Counter, seen *int64, total int64) {
+		c.Inc(total - *seen)
+		*seen = total
+	}
+	add(m.aborted, &m.abortedSeen, bodiesAborted+responsesAborted)
+	add(m.refused, &m.refusedSeen, bodiesRefused+responsesRefused)
+	add(m.connsClosed, &m.connsClosedSeen, closed)
+}
+
 // maxClientConns returns the bound on the connections of clients, for a process that
 // has the given memory.
 func maxClientConns(size int64) int {
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -40,6 +40,7 @@
 	store         map[storeOutcome]tally.Counter
 	pulls         tally.Counter
 	unserved      tally.Counter
+	memory        *memoryGauges
 
 	inFlight, waiting, slots, usable, loss, threshold, demand, version, age, upstreams, limited, limit tally.Gauge
 }
@@ -62,6 +63,7 @@
 		store:         make(map[storeOutcome]tally.Counter),
 		pulls:         scope.Counter("members_pulled"),
 		unserved:      scope.Counter("services_without_upstream"),
+		memory:        newMemoryGauges(scope),
 		inFlight:      scope.Gauge("door_in_flight"),
 		waiting:       scope.Gauge("door_waiting"),
 		slots:         scope.Gauge("door_slots"),
@@ -187,6 +189,7 @@
 		_, usable := n.fleet.Counts()
 		n.metrics.upstreams.Update(float64(usable))
 		n.metrics.updateNotice(n.target.state().Notice)
+		n.updateMemory()
 	}
 	return nil
 }
