Bodies of calls from other nodes share the budget

Cause: the node of the upstream holds each body while it waits for a slot. Change: beyond 64 KiB it needs a share of the node's budget, else the call has not run and may be offered to another node.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -161,28 +161,10 @@
 			_ = conn.SetReadDeadline(time.Unix(1, 0)) // ends the read that is pending
 		})
 	}
-	return reserve(r.claim, size)
-}
-
-// reserve waits until the claim holds size bytes, while transfers that were aborted
-// are about to release them.
-func reserve(claim *memory.Claim, size int) error {
-	timeout := time.NewTimer(memoryWait)
-	defer timeout.Stop()
-	for {
-		verdict, freed := claim.Reserve(time.Now(), int64(size))
-		switch verdict {
-		case memory.Granted:
-			return nil
-		case memory.Refused:
-			return ErrNoMemory
-		}
-		select {
-		case <-freed:
-		case <-timeout.C:
-			return ErrNoMemory
-		}
+	if !r.claim.Acquire(int64(size), memoryWait) {
+		return ErrNoMemory
 	}
+	return nil
 }
 
 // progressed records that n bytes have arrived and sets the time until which the
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -135,7 +135,7 @@
 	}
 	claim := c.guard.responses.Claim(time.Now(), false, func() { _ = c.Conn.Close() })
 	defer claim.Release()
-	if reserve(claim, len(p)) != nil {
+	if !claim.Acquire(int64(len(p)), memoryWait) {
 		_ = c.Conn.Close() // part of the answer may have been written
 		return 0, errNoResponseMemory
 	}
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -1,6 +1,6 @@
 // Package memory bounds the bytes that many transfers hold together, and decides
-// which of them gives way where no memory is left. It uses no clock and no
-// goroutine: the time is an argument.
+// which of them gives way where no memory is left. The decision, Claim.Reserve, uses
+// no clock and no goroutine: the time is an argument.
 package memory
 
 import (
@@ -66,9 +66,10 @@
 }
 
 // Claim returns a claim that holds nothing yet. abort ends the transfer; it is
-// called with the budget locked, at most once, and must not block.
+// called with the budget locked, at most once, and must not block. With nil the claim
+// is never aborted.
 func (b *Budget) Claim(now time.Time, order bool, abort func()) *Claim {
-	return &Claim{budget: b, order: order, abort: abort, progress: now}
+	return &Claim{budget: b, order: order, abort: abort, progress: now, fixed: abort == nil}
 }
 
 // Reserve raises what the claim holds to n bytes. If there is not enough memory, it
@@ -132,6 +133,30 @@
 	return true
 }
 
+// Acquire reserves n bytes. While an aborted transfer is about to release memory it
+// waits, until timeout at most. It reports whether the bytes are reserved.
+func (c *Claim) Acquire(n int64, timeout time.Duration) bool {
+	var late <-chan time.Time
+	for {
+		verdict, freed := c.Reserve(time.Now(), n)
+		switch {
+		case verdict == Granted:
+			return true
+		case verdict == Refused:
+			return false
+		case late == nil:
+			timer := time.NewTimer(timeout)
+			defer timer.Stop()
+			late = timer.C
+		}
+		select {
+		case <-freed:
+		case <-late:
+			return false
+		}
+	}
+}
+
 // Progress records that the transfer moves.
 func (c *Claim) Progress(now time.Time) {
 	c.budget.mu.Lock()
--- a/internal/sidecar/bodies.go
+++ b/internal/sidecar/bodies.go
@@ -29,6 +29,11 @@
 	// that is received, or an answer that is read, gives way to another one.
 	bodyStall     = time.Second
 	responseStall = 250 * time.Millisecond
+	// freeCallBody is the size in bytes up to which the body of a call from another
+	// node needs no share of the memory, and callMemoryWait bounds the wait for one
+	// that an aborted transfer releases.
+	freeCallBody   = 64 << 10
+	callMemoryWait = 100 * time.Millisecond
 	// defaultMaxBody bounds the body of a request in bytes where the configuration
 	// has no limit.
 	defaultMaxBody = 8 << 20
@@ -171,3 +176,18 @@
 	}
 	return outcome.NotRunReply(contract.ReasonBadRequest, "the body is incomplete or malformed")
 }
+
+// holdBody reserves memory for the body of a call from another node until release is
+// called, as the call may wait for a slot. Without memory the returned reply rejects
+// it; its sender may offer it to another node.
+func (n *Node) holdBody(req *linkpb.CallRequest) (release func(), rejection *linkpb.CallReply) {
+	if len(req.Body) <= freeCallBody {
+		return func() {}, nil
+	}
+	claim := n.budgets.bodies.Claim(time.Now(), !req.Idempotent, nil)
+	if !claim.Acquire(int64(len(req.Body)), callMemoryWait) {
+		n.metrics.countRejected(contract.ReasonOverload)
+		return nil, outcome.NotRunReply(contract.ReasonOverload, "no memory is left for the body")
+	}
+	return claim.Release, nil
+}
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -22,6 +22,11 @@
 func (n *Node) Call(ctx context.Context, req *linkpb.CallRequest) *linkpb.CallReply {
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
+	release, rejection := n.holdBody(req)
+	if rejection != nil {
+		return rejection
+	}
+	defer release()
 	ctx, held := upstream.WithHeld(ctx)
 	reply := n.serveLocal(ctx, req)
 	if !link.OnSent(ctx, held.Release) {
