--- a/internal/sidecar/bodies.go
+++ b/internal/sidecar/bodies.go
@@ -24,7 +24,7 @@
 	bodyMemoryDivisor     = 8
 	responseMemoryDivisor = 16
 	// minBodyMemory lets one lookup of the largest size in.
-	minBodyMemory = 12 << 20
+	minBodyMemory = 13 << 20
 	// bodyStall and responseStall are the times without progress after which a body
 	// that is received, or an answer that is read, gives way to another one.
 	bodyStall     = time.Second
@@ -129,7 +129,7 @@
 	if table := n.table.Load(); table != nil && table.Limits.BodyBytes > 0 {
 		limit = table.Limits.BodyBytes
 	}
-	return min(limit, ingress.MaxBody, int(n.budgets.bodies.LargestLookup()))
+	return min(limit, ingress.MaxBody, int(n.budgets.bodies.LargestLookup())-1)
 }
 
 // isOrder reports whether a request matches a route for orders. Without a route it
--- a/internal/sidecar/bodies_test.go
+++ b/internal/sidecar/bodies_test.go
@@ -16,7 +16,7 @@
 // upstream and over a link, and against a refusal with another status than 413.
 func TestBodyLimitIsThatOfTheConfiguration(t *testing.T) {
 	tc, near, far := startPair(t)
-	const allowed = 9_000_000
+	const allowed = 9 << 20
 	tc.writeConfig(strings.Replace(platformtest.Config(2, "near", "far"), `"maxBodyBytes":1000`, fmt.Sprintf(`"maxBodyBytes":%d`, 64<<20), 1))
 	for _, m := range []*vm{near, far} {
 		m.up.set(func(rw http.ResponseWriter, r *http.Request) {
@@ -37,7 +37,7 @@
 	if used, _, _ := near.node.budgets.bodies.Stats(); used != 0 {
 		t.Errorf("%d bytes of bodies are held afterwards, want 0", used)
 	}
-	if got, want := near.node.maxBody(), 9<<20; got != want {
+	if got, want := near.node.maxBody(), allowed; got != want {
 		t.Errorf("limit in force: got %d, want %d", got, want)
 	}
 }
