ingress: run pipelined idempotent requests beside the one in front

Cause: fasthttp serves the requests of a connection one by one, so that one behind a slow one is not read for seconds, and a client that leaves is not noticed while requests are buffered.

Change: a server with a callback that tells idempotent requests wraps its connections in pipelinedConn. It delivers to fasthttp the bytes of one request at a time, reads on while a handler runs, parses the requests behind with the same codec and runs idempotent ones ahead; when fasthttp comes to such a request, its handler hands over the answer. Reading, limits, deadlines, order and closing of the connection stay fasthttp's. An order runs alone, nothing runs ahead behind a request that closes, and an answer that closes cancels what runs behind it. While the read-ahead buffer is full, the socket is polled for the end of the client's side. Servers without the callback are unchanged.

A connection loop of its own was weighed: it would repeat what fasthttp's loop does about limits, timeouts, Expect, drain and shutdown.

--- a/internal/endpoint/bounded.go
+++ b/internal/endpoint/bounded.go
@@ -36,6 +36,9 @@
 	read atomic.Int64
 }
 
+// NetConn returns the connection below, whose socket can be asked for its state.
+func (c *boundedConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *boundedConn) Read(p []byte) (int, error) {
 	left := c.bytes - c.read.Load()
--- /dev/null
+++ b/internal/ingress/pipeline.go
@@ -0,0 +1,408 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"heathershed/internal/wait"
+)
+
+const (
+	// maxAheadRequests bounds the requests of one connection that run, or have their
+	// answers ready, behind the one whose answer is due.
+	maxAheadRequests = 16
+	// maxAheadBytes bounds the bytes of a connection that are read before the server
+	// asks for them. It holds maxAheadRequests requests with headers of 4 KiB.
+	maxAheadBytes = 64 << 10
+	// maxHeldBytes is the size of a connection's ready answers from which on no further
+	// request of it is run ahead.
+	maxHeldBytes = 1 << 20
+	// aheadMemory bounds the read-ahead buffers of all connections together, and is the
+	// size of all buffers and ready answers from which on no request is run ahead. It is
+	// a small part of the 184 MiB of the smallest VM.
+	aheadMemory = 8 << 20
+	// maxAheadRunning bounds the requests of all connections that run ahead. Their
+	// answers are of unknown size until they are ready.
+	maxAheadRunning = 256
+	// hangupPoll is how often a connection is asked whether its client has closed it
+	// while the read-ahead buffer is full, so that no read can tell.
+	hangupPoll = 100 * time.Millisecond
+	// shutdownPoll is how often Shutdown looks whether requests still run ahead.
+	shutdownPoll = 10 * time.Millisecond
+)
+
+// Idempotent reports whether a request may run beside others of its connection. It
+// must not change the request.
+type Idempotent func(*fasthttp.Request) bool
+
+// pipeline runs pipelined requests of a server's connections ahead. It is shared by
+// them.
+type pipeline struct {
+	handle     Handler
+	idempotent Idempotent
+	headBytes  int
+	draining   *atomic.Bool
+	// template is an empty answer with the settings of the server.
+	template     fasthttp.Response
+	templateOnce sync.Once
+	// memory is the size of all read-ahead buffers and ready answers, running the number
+	// of requests that run ahead, started the number that ever did.
+	memory, running, started atomic.Int64
+}
+
+// defaultHeadBytes is the bound on heads of a server without one.
+const defaultHeadBytes = 4 << 10
+
+func newPipeline(o Options, handle Handler, draining *atomic.Bool) *pipeline {
+	p := &pipeline{handle: handle, idempotent: o.Idempotent, headBytes: o.HeaderBytes, draining: draining}
+	if p.headBytes <= 0 {
+		p.headBytes = defaultHeadBytes
+	}
+	return p
+}
+
+// pipelinedListener wraps each accepted connection in a pipelinedConn.
+type pipelinedListener struct {
+	net.Listener
+	p *pipeline
+}
+
+// Accept implements net.Listener.
+func (l pipelinedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newPipelinedConn(c, l.p), nil
+}
+
+// aheadKey is the context key of requests that run ahead.
+type aheadKey struct{}
+
+// RunsAhead reports whether a request runs before its answer is due, because it was
+// found idempotent. ctx is that of its handler.
+func RunsAhead(ctx context.Context) bool { return ctx.Value(aheadKey{}) != nil }
+
+// reserve takes n bytes of the memory if it has them.
+func (p *pipeline) reserve(n int) bool {
+	if p.memory.Add(int64(n)) > aheadMemory {
+		p.memory.Add(-int64(n))
+		return false
+	}
+	return true
+}
+
+// setTemplate keeps the settings that the server has made in an answer.
+func (p *pipeline) setTemplate(empty *fasthttp.Response) {
+	p.templateOnce.Do(func() { empty.CopyTo(&p.template) })
+}
+
+// awaitEnd waits until no request runs ahead or ctx ends.
+func (p *pipeline) awaitEnd(ctx context.Context) {
+	for p.running.Load() > 0 {
+		if wait.For(ctx, shutdownPoll) != nil {
+			return
+		}
+	}
+}
+
+// aheadRequest is a request that runs before its answer is due.
+type aheadRequest struct {
+	rc     fasthttp.RequestCtx
+	size   int // as received, in bytes
+	cancel context.CancelFunc
+	// done is closed when the answer is ready.
+	done chan struct{}
+	// held is the size of the answer; 0 until it is ready. Guarded by the connection.
+	held int
+	// dropped says that the answer is not needed. Guarded by the connection.
+	dropped bool
+}
+
+// stage says which part of a request the server reads next.
+type stage uint8
+
+const (
+	// stageServed: the request is being served, or the server reads the next one.
+	stageServed stage = iota
+	// stageHead: the server reads the head.
+	stageHead
+	// stageBody: the server reads the body, of which left bytes remain.
+	stageBody
+	// stageUnknown: where requests end is not known, nor will it be.
+	stageUnknown
+)
+
+// pipelinedConn is a client's connection that is read while a request is served. It
+// delivers to the server the bytes of one request at a time, so that it knows where
+// the next one begins, and runs idempotent requests behind the current one ahead. The
+// server still reads each request itself, in order; for one that has run ahead, its
+// handler only hands over the answer. A connection whose client has left cancels all
+// its requests.
+type pipelinedConn struct {
+	net.Conn
+	p *pipeline
+
+	mu sync.Mutex
+	// changed is signalled when bytes or an error have arrived, or fill has ended.
+	changed sync.Cond
+	// buf[start:end] has been read but not delivered.
+	buf        []byte
+	start, end int
+	// err is the error that ended a read; all later reads return it.
+	err error
+	// filling says that fill runs, or a read into the buffer is pending. Nothing else
+	// changes buf and end meanwhile.
+	filling bool
+	// cancel ends the request that is being served; nil while there is none.
+	cancel context.CancelFunc
+	// ended is closed when that request ends.
+	ended chan struct{}
+
+	stage stage
+	left  int
+	head  headReader
+	// current is the request being read or served, if it has run ahead.
+	current *aheadRequest
+	// ahead are the requests behind it that run, or have run, in order.
+	ahead []*aheadRequest
+	// aheadSize is the sum of their sizes, held that of their answers.
+	aheadSize, held int
+	// concurrent says that others may run beside the request being served.
+	concurrent bool
+	// blocked says that the first request behind those of ahead doesn't run ahead.
+	blocked bool
+	// closing says that nothing behind the requests of ahead is answered.
+	closing bool
+
+	small [readAheadSize]byte
+}
+
+func newPipelinedConn(c net.Conn, p *pipeline) *pipelinedConn {
+	pc := &pipelinedConn{Conn: c, p: p}
+	pc.changed.L = &pc.mu
+	pc.buf = pc.small[:]
+	return pc
+}
+
+// serve answers a request that the server has read completely.
+func (c *pipelinedConn) serve(rc *fasthttp.RequestCtx) {
+	c.p.setTemplate(&rc.Response)
+	concurrent := c.p.idempotent(&rc.Request)
+	closes := rc.Request.Header.ConnectionClose()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r := c.begin(cancel, concurrent, closes)
+	if r != nil {
+		<-r.done
+		r.handOver(&rc.Response)
+	} else {
+		c.p.handle(ctx, rc)
+	}
+	if c.p.draining.Load() {
+		rc.SetConnectionClose()
+	}
+	c.finish(r, closes || rc.Response.ConnectionClose())
+}
+
+// handOver moves the answer to the server's.
+func (r *aheadRequest) handOver(to *fasthttp.Response) {
+	from := &r.rc.Response
+	body := from.Body()
+	from.Header.CopyTo(&to.Header)
+	to.SkipBody = from.SkipBody
+	to.SetBodyRaw(body)
+}
+
+// begin starts the serving of a request. It returns the request if it has run ahead.
+// Until finish, the connection is read and requests behind this one run ahead.
+func (c *pipelinedConn) begin(cancel context.CancelFunc, concurrent, closes bool) *aheadRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.stage == stageHead && c.head.ended || c.stage == stageBody && c.left == 0
+	r := c.current
+	c.stage = stageServed
+	if !known {
+		c.stage = stageUnknown
+		c.dropLocked(0)
+	}
+	c.head.reset()
+	if r == nil {
+		c.blocked = false // the request that did not run ahead is this one
+	}
+	c.concurrent = concurrent && known
+	c.closing = c.closing || closes
+	c.cancel, c.ended = cancel, make(chan struct{})
+	if c.err != nil {
+		c.leaveLocked()
+		return r
+	}
+	// Clear the deadline for sending the request, which has been read.
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	c.runAheadLocked()
+	if !c.filling {
+		c.compactLocked()
+		c.filling = true
+		go c.fill()
+	}
+	return r
+}
+
+// finish ends the serving of a request. If its answer closes the connection, requests
+// behind it are dropped.
+func (c *pipelinedConn) finish(r *aheadRequest, closes bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.ended)
+	c.cancel, c.ended, c.concurrent, c.current = nil, nil, false, nil
+	if r != nil {
+		c.releaseLocked(r)
+	}
+	if closes {
+		c.closing = true
+		c.dropLocked(0)
+	}
+	if c.filling && c.start == c.end && len(c.buf) > readAheadSize {
+		// End the pending read, so that an idle connection keeps no large buffer. The
+		// server sets the deadline anew before it reads; fill must have noticed this one
+		// by then.
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		for c.filling {
+			c.changed.Wait()
+		}
+	}
+}
+
+// leaveLocked cancels all requests of a client that has left.
+func (c *pipelinedConn) leaveLocked() {
+	c.closing = true
+	if c.cancel != nil {
+		c.cancel()
+	}
+	if c.current != nil {
+		c.current.cancel()
+	}
+	c.dropLocked(0)
+}
+
+// dropLocked cancels the requests of ahead from the given index on.
+func (c *pipelinedConn) dropLocked(from int) {
+	for _, r := range c.ahead[from:] {
+		r.cancel()
+		r.dropped = true
+		c.aheadSize -= r.size
+		c.releaseLocked(r)
+	}
+	c.ahead = c.ahead[:from]
+}
+
+// releaseLocked gives back the memory of an answer.
+func (c *pipelinedConn) releaseLocked(r *aheadRequest) {
+	c.held -= r.held
+	c.p.memory.Add(-int64(r.held))
+	r.held = 0
+}
+
+// Close implements net.Conn. It cancels the requests that run ahead.
+func (c *pipelinedConn) Close() error {
+	err := c.Conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err == nil {
+		c.err = net.ErrClosed
+	}
+	c.leaveLocked()
+	if r := c.current; r != nil && c.cancel == nil { // it will not be served
+		r.dropped = true
+		c.releaseLocked(r)
+		c.current = nil
+	}
+	if !c.filling {
+		c.shrinkLocked()
+	}
+	c.changed.Broadcast()
+	return err
+}
+
+// runAheadLocked starts the requests behind the current one that may run beside it.
+func (c *pipelinedConn) runAheadLocked() {
+	for c.concurrent && !c.closing && !c.blocked && c.stage == stageServed && len(c.ahead) < maxAheadRequests &&
+		c.held < maxHeldBytes && !c.p.draining.Load() {
+		r := &aheadRequest{done: make(chan struct{})}
+		data := c.buf[c.start+c.aheadSize : c.end]
+		size, state := readRequest(data, c.p.headBytes, &r.rc.Request)
+		if state == incomplete {
+			return
+		}
+		if state == invalid || !c.p.idempotent(&r.rc.Request) {
+			c.blocked = true
+			return
+		}
+		if c.p.memory.Load() >= aheadMemory {
+			return
+		}
+		if c.p.running.Add(1) > maxAheadRunning {
+			c.p.running.Add(-1)
+			return
+		}
+		r.size = size
+		c.ahead = append(c.ahead, r)
+		c.aheadSize += size
+		c.blocked = r.rc.Request.Header.ConnectionClose() // nothing behind it is read
+		c.startLocked(r)
+	}
+}
+
+// startLocked starts a request.
+func (c *pipelinedConn) startLocked(r *aheadRequest) {
+	c.p.started.Add(1)
+	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), aheadKey{}, true))
+	r.cancel = cancel
+	const reduceMemory = true // as the server
+	r.rc.Init2(c, discardLog{}, reduceMemory)
+	c.p.template.CopyTo(&r.rc.Response)
+	go func() {
+		defer c.p.running.Add(-1)
+		defer cancel()
+		c.p.handle(ctx, &r.rc)
+		c.ready(r)
+		close(r.done)
+	}()
+}
+
+// ready records that the answer of a request is ready. If it closes the connection,
+// the requests behind it are dropped.
+func (c *pipelinedConn) ready(r *aheadRequest) {
+	size, closes := len(r.rc.Response.Body()), r.rc.Response.ConnectionClose()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.dropped {
+		return
+	}
+	r.held = size
+	c.held += size
+	c.p.memory.Add(int64(size))
+	if !closes {
+		return
+	}
+	c.closing = true
+	for i, other := range c.ahead {
+		if other == r {
+			c.dropLocked(i + 1)
+			return
+		}
+	}
+	c.dropLocked(0) // it is the current one
+}
+
+// discardLog is the logger of requests that run ahead. Their handlers log by
+// themselves.
+type discardLog struct{}
+
+// Printf implements fasthttp.Logger.
+func (discardLog) Printf(string, ...any) {}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -49,6 +49,8 @@
 	options  Options
 	guard    *guard
 	draining atomic.Bool
+	// pipeline runs pipelined requests ahead; nil if none are.
+	pipeline *pipeline
 }
 
 // Options are the options of a Server. A zero field selects its default.
@@ -67,6 +69,9 @@
 	Responses *memory.Budget
 	// MaxConns bounds the open connections. The default is no bound.
 	MaxConns int
+	// Idempotent says which requests may run before their answers are due, beside
+	// others of their connection. If nil, the requests of a connection run one by one.
+	Idempotent Idempotent
 	// Log receives the errors that end connections. The default is standard
 	// error.
 	Log fasthttp.Logger
@@ -81,6 +86,9 @@
 		o.IdleTimeout = idleTimeout
 	}
 	s := &Server{options: o, guard: newGuard(o.Responses, o.MaxConns)}
+	if o.Idempotent != nil {
+		s.pipeline = newPipeline(o, handle, &s.draining)
+	}
 	s.http = &fasthttp.Server{
 		Handler:                      func(rc *fasthttp.RequestCtx) { s.serve(rc, handle) },
 		Name:                         "heathershed",
@@ -105,36 +113,63 @@
 	return s
 }
 
+// serve serves a request whose head has been read.
 func (s *Server) serve(rc *fasthttp.RequestCtx, handle Handler) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	if s.options.Bodies != nil {
-		body, release, err := s.options.Bodies.read(rc)
-		defer release()
-		if err != nil {
-			rc.SetConnectionClose() // the rest of the body is not read
-			s.options.Bodies.Refuse(rc, err)
-			return
-		}
-		rc.Request.SetBodyRaw(body)
-		defer rc.Request.ResetBody() // the answer may wait for its client much longer
+	release, ok := s.readBody(rc)
+	defer release()
+	if !ok {
+		return
 	}
-	if c, ok := rc.Conn().(*watchedConn); ok {
-		if g, ok := c.Conn.(*guardedConn); ok {
-			g.setBusy(true)
-		}
+	switch c := rc.Conn().(type) {
+	case *pipelinedConn:
+		setBusy(c.Conn)
+		c.serve(rc)
+	case *watchedConn:
+		setBusy(c.Conn)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
 		c.watch(cancel)
 		defer c.unwatch()
+		handle(ctx, rc)
 	}
-	handle(ctx, rc)
 	if s.draining.Load() {
 		rc.SetConnectionClose()
 	}
 }
 
+// readBody reads the body of a request where the server does so. If that fails, it
+// answers the request and ok is false. release gives back the memory of the body.
+func (s *Server) readBody(rc *fasthttp.RequestCtx) (release func(), ok bool) {
+	if s.options.Bodies == nil {
+		return func() {}, true
+	}
+	body, give, err := s.options.Bodies.read(rc)
+	if err != nil {
+		rc.SetConnectionClose() // the rest of the body is not read
+		s.options.Bodies.Refuse(rc, err)
+		return give, false
+	}
+	rc.Request.SetBodyRaw(body)
+	return func() {
+		rc.Request.ResetBody() // the answer may wait for its client much longer
+		give()
+	}, true
+}
+
+// setBusy records that a connection has sent a complete request.
+func setBusy(c net.Conn) {
+	if g, ok := c.(*guardedConn); ok {
+		g.setBusy(true)
+	}
+}
+
 // Serve accepts connections on ln until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(watchedListener{guardedListener{endpoint.Bounded(ln, maxRequest), s.guard}})
+	bounded := guardedListener{endpoint.Bounded(ln, maxRequest), s.guard}
+	if s.pipeline != nil {
+		return s.http.Serve(pipelinedListener{bounded, s.pipeline})
+	}
+	return s.http.Serve(watchedListener{bounded})
 }
 
 // Connections returns the number of open connections, and of those that were closed
@@ -147,5 +182,9 @@
 
 // Shutdown closes the listener and waits for requests in flight until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return s.http.ShutdownWithContext(ctx)
+	err := s.http.ShutdownWithContext(ctx)
+	if s.pipeline != nil {
+		s.pipeline.awaitEnd(ctx)
+	}
+	return err
 }
