sidecar: run clients' pipelined lookups beside each other

Change: the node tells its ingress which requests match a route of idempotent ones (mayRunAhead). A request that runs ahead and whose route has become one of orders meanwhile gets 503, not run. What a request that runs ahead takes besides its answer counts towards the shared memory bound: small answers that wait for their turn on many connections were not bounded before.

--- a/internal/ingress/framing.go
+++ b/internal/ingress/framing.go
@@ -90,8 +90,9 @@
 	if err := req.Header.Read(r); err != nil || req.MayContinue() {
 		return 0, invalid
 	}
+	var uri fasthttp.URI
 	length := req.Header.ContentLength()
-	if length > maxBody {
+	if length > maxBody || uri.Parse(req.Header.Host(), req.Header.RequestURI()) != nil {
 		return 0, invalid
 	}
 	if length > len(data)-n {
--- a/internal/ingress/pipeline.go
+++ b/internal/ingress/pipeline.go
@@ -19,16 +19,20 @@
 	// maxAheadBytes bounds the bytes of a connection that are read before the server
 	// asks for them. It holds maxAheadRequests requests with headers of 4 KiB.
 	maxAheadBytes = 64 << 10
-	// maxHeldBytes is the size of a connection's ready answers from which on no further
-	// request of it is run ahead.
+	// maxHeldBytes is the memory of a connection's requests that run ahead and their ready
+	// answers from which on no further request of it is run ahead.
 	maxHeldBytes = 1 << 20
-	// aheadMemory bounds the read-ahead buffers of all connections together, and is the
-	// size of all buffers and ready answers from which on no request is run ahead. It is
-	// a small part of the 184 MiB of the smallest VM.
+	// aheadMemory bounds the read-ahead buffers and the requests that run ahead, of all
+	// connections together. With their answers, whose size is not known before, it is
+	// what these take from which on no request is run ahead. It is a small part of the
+	// 184 MiB of the smallest VM.
 	aheadMemory = 8 << 20
 	// maxAheadRunning bounds the requests of all connections that run ahead. Their
 	// answers are of unknown size until they are ready.
 	maxAheadRunning = 256
+	// requestCost is what a request that runs ahead takes of aheadMemory besides its own
+	// size and its answer: a little more than its context.
+	requestCost = 4 << 10
 	// hangupPoll is how often a connection is asked whether its client has closed it
 	// while the read-ahead buffer is full, so that no read can tell.
 	hangupPoll = 100 * time.Millisecond
@@ -50,7 +54,8 @@
 	// template is an empty answer with the settings of the server.
 	template     fasthttp.Response
 	templateOnce sync.Once
-	// memory is the size of all read-ahead buffers and ready answers, running the number
+	// memory is the size of all read-ahead buffers, requests that run ahead and ready
+	// answers, running the number
 	// of requests that run ahead, started the number that ever did.
 	memory, running, started atomic.Int64
 }
@@ -118,7 +123,7 @@
 	cancel context.CancelFunc
 	// done is closed when the answer is ready.
 	done chan struct{}
-	// held is the size of the answer; 0 until it is ready. Guarded by the connection.
+	// held is the memory of the request and its answer. Guarded by the connection.
 	held int
 	// dropped says that the answer is not needed. Guarded by the connection.
 	dropped bool
@@ -171,7 +176,7 @@
 	current *aheadRequest
 	// ahead are the requests behind it that run, or have run, in order.
 	ahead []*aheadRequest
-	// aheadSize is the sum of their sizes, held that of their answers.
+	// aheadSize is the sum of their sizes, held the memory of these and current.
 	aheadSize, held int
 	// concurrent says that others may run beside the request being served.
 	concurrent bool
@@ -301,7 +306,7 @@
 	c.ahead = c.ahead[:from]
 }
 
-// releaseLocked gives back the memory of an answer.
+// releaseLocked gives back the memory of a request and its answer.
 func (c *pipelinedConn) releaseLocked(r *aheadRequest) {
 	c.held -= r.held
 	c.p.memory.Add(-int64(r.held))
@@ -333,8 +338,11 @@
 func (c *pipelinedConn) runAheadLocked() {
 	for c.concurrent && !c.closing && !c.blocked && c.stage == stageServed && len(c.ahead) < maxAheadRequests &&
 		c.held < maxHeldBytes && !c.p.draining.Load() {
-		r := &aheadRequest{done: make(chan struct{})}
 		data := c.buf[c.start+c.aheadSize : c.end]
+		if len(data) == 0 {
+			return
+		}
+		r := &aheadRequest{done: make(chan struct{})}
 		size, state := readRequest(data, c.p.headBytes, &r.rc.Request)
 		if state == incomplete {
 			return
@@ -343,14 +351,17 @@
 			c.blocked = true
 			return
 		}
-		if c.p.memory.Load() >= aheadMemory {
+		cost := requestCost + size
+		if !c.p.reserve(cost) {
 			return
 		}
 		if c.p.running.Add(1) > maxAheadRunning {
 			c.p.running.Add(-1)
+			c.p.memory.Add(-int64(cost))
 			return
 		}
-		r.size = size
+		r.size, r.held = size, cost
+		c.held += cost
 		c.ahead = append(c.ahead, r)
 		c.aheadSize += size
 		c.blocked = r.rc.Request.Header.ConnectionClose() // nothing behind it is read
@@ -384,7 +395,7 @@
 	if r.dropped {
 		return
 	}
-	r.held = size
+	r.held += size
 	c.held += size
 	c.p.memory.Add(int64(size))
 	if !closes {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -176,6 +176,15 @@
 // since the start because there were too many.
 func (s *Server) Connections() (open int, closed int64) { return s.guard.stats() }
 
+// ReadAheadBytes returns the memory of read-ahead buffers, of requests that run before
+// their answers are due, and of answers that wait for their turn.
+func (s *Server) ReadAheadBytes() int64 {
+	if s.pipeline == nil {
+		return 0
+	}
+	return s.pipeline.memory.Load()
+}
+
 // Drain moves callers to other nodes: from now on each answer closes its
 // connection. Requests are still served.
 func (s *Server) Drain() { s.draining.Store(true) }
--- a/internal/sidecar/bodies.go
+++ b/internal/sidecar/bodies.go
@@ -117,8 +117,9 @@
 			IsOrder: n.isOrder,
 			Refuse:  n.refuseBody,
 		},
-		Responses: n.budgets.responses,
-		MaxConns:  maxClientConns(n.cfg.Memory),
+		Responses:  n.budgets.responses,
+		MaxConns:   maxClientConns(n.cfg.Memory),
+		Idempotent: n.mayRunAhead,
 	}
 }
 
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -75,6 +75,12 @@
 	defer held.Release()
 	began := time.Now()
 	c, reply := n.accept(rc, began)
+	if ingress.RunsAhead(ctx) {
+		n.metrics.ahead.Inc(1)
+		if reply == nil && !c.route.Idempotent { // the route has changed since mayRunAhead
+			reply = outcome.NotRunReply(contract.ReasonNoUpstream, "the route has become one of orders")
+		}
+	}
 	if reply == nil {
 		reply = n.forward(ctx, c)
 	}
@@ -85,6 +91,18 @@
 	n.logEnd(c, reply, took)
 }
 
+// mayRunAhead reports whether a pipelined request may run before the answers to those in
+// front of it are sent: it matches a route of idempotent requests.
+func (n *Node) mayRunAhead(req *fasthttp.Request) bool {
+	table := n.table.Load()
+	if table == nil {
+		return false
+	}
+	path, _, _ := strings.Cut(string(req.Header.RequestURI()), "?")
+	route, ok := table.Match(string(req.Host()), path)
+	return ok && route.Idempotent
+}
+
 // forward sends a call to an upstream of its service. A client's request below
 // the threshold of its call tree is shed here, before it costs anything
 // downstream.
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -41,8 +41,9 @@
 	pulls         tally.Counter
 	unserved      tally.Counter
 	memory        *memoryGauges
+	ahead         tally.Counter
 
-	inFlight, waiting, slots, usable, loss, threshold, demand, version, age, upstreams, limited, limit tally.Gauge
+	readAhead, inFlight, waiting, slots, usable, loss, threshold, demand, version, age, upstreams, limited, limit tally.Gauge
 }
 
 // storeOutcome identifies a counter of calls to the object API: the call, and
@@ -64,6 +65,8 @@
 		pulls:         scope.Counter("members_pulled"),
 		unserved:      scope.Counter("services_without_upstream"),
 		memory:        newMemoryGauges(scope),
+		ahead:         scope.Counter("requests_run_ahead"),
+		readAhead:     scope.Gauge("read_ahead_bytes"),
 		inFlight:      scope.Gauge("door_in_flight"),
 		waiting:       scope.Gauge("door_waiting"),
 		slots:         scope.Gauge("door_slots"),
@@ -173,6 +176,7 @@
 func (n *Node) runGauges(ctx context.Context) error {
 	for wait.For(ctx, reportInterval) == nil {
 		load := n.sched.Load(time.Now(), "")
+		n.metrics.readAhead.Update(float64(n.ingress.ReadAheadBytes()))
 		n.metrics.inFlight.Update(float64(load.InFlight))
 		n.metrics.waiting.Update(float64(load.Waiting))
 		n.metrics.slots.Update(float64(load.Slots))
