where: ask nodes how they would route a request, without sending it

Change: GET /where at a node's metrics address evaluates a client's request as serveClient does and answers with route, verdict on the key, workspace, the range of its priority level and the threshold, and each upstream of the service with its cost and why it would be chosen or not (fleet.Explain). "heathershed where HOST/PATH" asks the nodes of its settings and prints text or JSON; the key comes from a file. Quotas are not part of this code yet: the limit of the workspace is shown, not evaluated.

--- a/cmd/heathershed/command.go
+++ b/cmd/heathershed/command.go
@@ -33,6 +33,7 @@
 		{"report", "", "what is in force at each node, and what is shed and why", nil, runReport},
 		{"timeline", "", "events of all nodes in causal order", timelineFlags, runTimeline},
 		{"explain", "ID", "the trace of one request, from logs alone", explainFlags, runExplain},
+		{"where", "HOST/PATH", "where nodes would route a request now and why, without sending it", whereFlags, runWhere},
 		{"order-id", "", "print a fresh order id", nil, runOrderID},
 		{"drain", "VM", "begin the planned stop of a VM's node", nil, runDrain},
 		{"version", "", "print the versions of this command and of the nodes", nil, runVersion},
@@ -48,6 +49,7 @@
 	change   changeOptions
 	timeline timelineOptions
 	logs     string
+	where    whereOptions
 }
 
 // usageError reports wrong usage of the command.
--- a/cmd/heathershed/command_test.go
+++ b/cmd/heathershed/command_test.go
@@ -87,6 +87,14 @@
 	case report.PathDrain:
 		e.posts <- string(c.Method()) + " " + string(c.Path())
 		answer = report.DrainAnswer{VM: "vm-1", State: report.StateLeaving, InFlight: 3}
+	case report.PathWhere:
+		if string(c.QueryArgs().Peek("path")) == "/slow" {
+			c.Error("no", fasthttp.StatusNotFound)
+			return
+		}
+		answer = report.Where{VM: "vm-1", Version: 7, Host: string(c.QueryArgs().Peek("host")), Path: string(c.QueryArgs().Peek("path")),
+			Outcome: "sent", Route: "r", Key: string(c.Request.Header.Peek("Authorization")), Threshold: 300, HighestLevel: 1023, Rejected: 0.29,
+			Services: []report.WhereService{{Service: "spanbook", Weight: 1, Upstreams: []report.WhereUpstream{{VM: "vm-7", Slots: 8, Standing: "lowest cost"}}}}}
 	case report.PathVersion:
 		answer = report.VersionAnswer{VM: "vm-1", Version: "1.2"}
 	}
@@ -124,6 +132,7 @@
 	if _, err := e.store.Put(context.Background(), membership.Key("vm-1"), value, 0, "w"); err != nil {
 		t.Fatal(err)
 	}
+	e.file("key", "k-1\n")
 	store := map[string]string{"HEATHERSHED_PLATFORM": e.platform}
 	down := map[string]string{"HEATHERSHED_PLATFORM": "127.0.0.1:1"}
 	nodes := map[string]string{"HEATHERSHED_PLATFORM": "127.0.0.1:1", "HEATHERSHED_NODES": e.node}
@@ -133,6 +142,18 @@
 		code         int
 		stdout, errs string // substrings
 	}{
+		// A routing dry run.
+		{nodes, "where h/x/1 -key-file FILE:key", exitOK, "h/x/1 at vm-1: sent", ""},
+		{nodes, "where h/x/1?a=b -key-file FILE:key", exitOK, "key Bearer k-1", ""},
+		{nodes, "where h/x/1", exitOK, "threshold 300: 29% rejected here", ""},
+		{nodes, "where h/x/1", exitOK, "lowest cost", ""},
+		{nodes, "where h/x/1 -json", exitOK, `"standing": "lowest cost"`, ""},
+		{nodes, "where h/x/1 -nodes " + e.node + ",127.0.0.1:1", exitPartial, "at vm-1", "127.0.0.1:1"},
+		{nodes, "where h/slow", exitFailed, "", "answers 404"},
+		{nodes, "where h", exitUsage, "", "HOST/PATH"},
+		{nodes, "where", exitUsage, "", "wrong number"},
+		{store, "where h/x", exitUsage, "", "-nodes"},
+		{nodes, "where h/x -key-file FILE:absent", exitFailed, "", "key"},
 		// A catalogue from its first version on.
 		{store, "catalogue show", exitOK, "# catalogue version 0", ""},
 		{store, "catalogue check FILE:one.ini", exitOK, "valid, 1 entries", ""},
--- a/cmd/heathershed/nodes.go
+++ b/cmd/heathershed/nodes.go
@@ -38,11 +38,19 @@
 
 // call sends one request and returns a copy of the body.
 func (c *nodeClient) call(ctx context.Context, method, address, path string) ([]byte, error) {
+	return c.callWith(ctx, method, address, path, "")
+}
+
+// callWith is call with credentials; empty for none.
+func (c *nodeClient) callWith(ctx context.Context, method, address, path, credentials string) ([]byte, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.Header.SetMethod(method)
 	request.SetRequestURI("http://" + address + path)
+	if credentials != "" {
+		request.Header.Set(fasthttp.HeaderAuthorization, credentials)
+	}
 	deadline := time.Now().Add(callTimeout)
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -194,7 +194,7 @@
 	n.ingress = ingress.NewWithOptions(n.ingressOptions(), n.serveClient)
 	n.ready = newPlatformServer(n.serveReady, log)
 	n.heartbeats = newPlatformServer(n.serveHeartbeat, log)
-	n.metricsServer = &http.Server{Handler: n.metrics.handler(), ReadHeaderTimeout: scrapeTimeout}
+	n.metricsServer = &http.Server{Handler: n.operatorHandler(), ReadHeaderTimeout: scrapeTimeout}
 	n.linkServer = link.NewServer(n, &n.traffic)
 	return n
 }
