--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -108,6 +108,9 @@
 	since time.Time
 }
 
+// NetConn returns the wrapped connection.
+func (c *guardedConn) NetConn() net.Conn { return c.Conn }
+
 func (c *guardedConn) setBusy(busy bool) {
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
