--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync/atomic"
 	"time"
@@ -15,14 +16,21 @@
 	"github.com/valyala/fasthttp"
 
 	"heathershed/internal/endpoint"
+	"heathershed/internal/memory"
 )
 
 const (
-	// maxBody bounds the body of a request in bytes before its kind is known.
+	// maxBody bounds the body of a request in bytes where the HTTP library reads it.
 	maxBody = 8 << 20
+	// MaxBody bounds the body of a request in bytes where the server reads it; the
+	// limit that its options give may be lower.
+	MaxBody = 9 << 20
+	// maxStreamed lets the HTTP library pass on all bodies where the server reads
+	// them.
+	maxStreamed = math.MaxInt32
 	// maxRequest bounds what is read for one request in bytes: the body, an eighth
 	// of that for chunk sizes and extensions, and the header.
-	maxRequest = maxBody + maxBody/8 + 64<<10
+	maxRequest = MaxBody + MaxBody/8 + 64<<10
 	// readTimeout bounds the time that a caller takes to send a request.
 	readTimeout = 10 * time.Second
 	// writeTimeout bounds the time that a caller takes to read an answer.
@@ -38,7 +46,11 @@
 // Server serves callers. The zero value is not usable; see New.
 type Server struct {
 	http     *fasthttp.Server
+	options  Options
+	guard    *guard
 	draining atomic.Bool
+	// pipeline runs pipelined requests ahead; nil if none are.
+	pipeline *pipeline
 }
 
 // Options are the options of a Server. A zero field selects its default.
@@ -49,6 +61,17 @@
 	// IdleTimeout is how long a connection without requests stays open. The
 	// default is 90 s.
 	IdleTimeout time.Duration
+	// Bodies makes the server read bodies within a budget. The default is to let the
+	// HTTP library read them. The body that a handler gets stays valid after it.
+	Bodies *BodyOptions
+	// Responses bounds the bytes of the answers that wait to be read by their
+	// clients. The default is no bound.
+	Responses *memory.Budget
+	// MaxConns bounds the open connections. The default is no bound.
+	MaxConns int
+	// Idempotent says which requests may run before their answers are due, beside
+	// others of their connection. If nil, the requests of a connection run one by one.
+	Idempotent Idempotent
 	// Log receives the errors that end connections. The default is standard
 	// error.
 	Log fasthttp.Logger
@@ -62,7 +85,10 @@
 	if o.IdleTimeout <= 0 {
 		o.IdleTimeout = idleTimeout
 	}
-	s := &Server{}
+	s := &Server{options: o, guard: newGuard(o.Responses, o.MaxConns)}
+	if o.Idempotent != nil {
+		s.pipeline = newPipeline(o, handle, &s.draining)
+	}
 	s.http = &fasthttp.Server{
 		Handler:                      func(rc *fasthttp.RequestCtx) { s.serve(rc, handle) },
 		Name:                         "heathershed",
@@ -79,25 +105,84 @@
 		CloseOnShutdown:              true,
 		SecureErrorLogMessage:        true, // what a client sent may contain its key
 	}
+	if o.Bodies != nil {
+		s.http.StreamRequestBody = true
+		s.http.MaxRequestBodySize = maxStreamed
+		s.http.HeaderReceived = o.Bodies.checkLength
+	}
 	return s
 }
 
+// serve serves a request whose head has been read.
 func (s *Server) serve(rc *fasthttp.RequestCtx, handle Handler) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	if c, ok := rc.Conn().(*watchedConn); ok {
+	release, ok := s.readBody(rc)
+	defer release()
+	if !ok {
+		return
+	}
+	switch c := rc.Conn().(type) {
+	case *pipelinedConn:
+		setBusy(c.Conn)
+		c.serve(rc)
+	case *watchedConn:
+		setBusy(c.Conn)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
 		c.watch(cancel)
 		defer c.unwatch()
+		handle(ctx, rc)
 	}
-	handle(ctx, rc)
 	if s.draining.Load() {
 		rc.SetConnectionClose()
 	}
 }
 
+// readBody reads the body of a request where the server does so. If that fails, it
+// answers the request and ok is false. release gives back the memory of the body.
+func (s *Server) readBody(rc *fasthttp.RequestCtx) (release func(), ok bool) {
+	if s.options.Bodies == nil {
+		return func() {}, true
+	}
+	body, give, err := s.options.Bodies.read(rc)
+	if err != nil {
+		rc.SetConnectionClose() // the rest of the body is not read
+		s.options.Bodies.Refuse(rc, err)
+		return give, false
+	}
+	rc.Request.SetBodyRaw(body)
+	return func() {
+		rc.Request.ResetBody() // the answer may wait for its client much longer
+		give()
+	}, true
+}
+
+// setBusy records that a connection has sent a complete request.
+func setBusy(c net.Conn) {
+	if g, ok := c.(*guardedConn); ok {
+		g.setBusy(true)
+	}
+}
+
 // Serve accepts connections on ln until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(watchedListener{endpoint.Bounded(ln, maxRequest)})
+	bounded := guardedListener{endpoint.Bounded(ln, maxRequest), s.guard}
+	if s.pipeline != nil {
+		return s.http.Serve(pipelinedListener{bounded, s.pipeline})
+	}
+	return s.http.Serve(watchedListener{bounded})
+}
+
+// Connections returns the number of open connections, and of those that were closed
+// since the start because there were too many.
+func (s *Server) Connections() (open int, closed int64) { return s.guard.stats() }
+
+// ReadAheadBytes returns the memory of read-ahead buffers, of requests that run before
+// their answers are due, and of answers that wait for their turn.
+func (s *Server) ReadAheadBytes() int64 {
+	if s.pipeline == nil {
+		return 0
+	}
+	return s.pipeline.memory.Load()
 }
 
 // Drain moves callers to other nodes: from now on each answer closes its
@@ -106,5 +191,9 @@
 
 // Shutdown closes the listener and waits for requests in flight until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return s.http.ShutdownWithContext(ctx)
+	err := s.http.ShutdownWithContext(ctx)
+	if s.pipeline != nil {
+		s.pipeline.awaitEnd(ctx)
+	}
+	return err
 }
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -18,6 +18,7 @@
 	"heathershed/internal/outcome"
 	"heathershed/internal/poison"
 	"heathershed/internal/routes"
+	"heathershed/internal/upstream"
 	"heathershed/internal/workspace"
 	"heathershed/platform"
 )
@@ -72,8 +73,16 @@
 func (n *Node) serveClient(ctx context.Context, rc *fasthttp.RequestCtx) {
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
+	ctx, held := upstream.WithHeld(ctx)
+	defer held.Release()
 	began := time.Now()
 	c, reply := n.accept(rc, began)
+	if ingress.RunsAhead(ctx) {
+		n.metrics.ahead.Inc(1)
+		if reply == nil && !c.route.Idempotent { // the route has changed since mayRunAhead
+			reply = outcome.NotRunReply(contract.ReasonNoUpstream, "the route has become one of orders")
+		}
+	}
 	if reply == nil {
 		reply = n.forward(ctx, c)
 	}
@@ -84,6 +93,18 @@
 	n.logEnd(c, reply, took)
 }
 
+// mayRunAhead reports whether a pipelined request may run before the answers to those in
+// front of it are sent: it matches a route of idempotent requests.
+func (n *Node) mayRunAhead(req *fasthttp.Request) bool {
+	table := n.table.Load()
+	if table == nil {
+		return false
+	}
+	path, _, _ := strings.Cut(string(req.Header.RequestURI()), "?")
+	route, ok := table.Match(string(req.Host()), path)
+	return ok && route.Idempotent
+}
+
 // forward sends a call to an upstream of its service. A client's request below
 // the threshold of its call tree is shed here, before it costs anything
 // downstream, and one over the limit of its workspace is rejected.
@@ -139,7 +160,7 @@
 	}
 	c.method = string(rc.Method())
 	c.headers = ingress.CopyHeadersIf(&rc.Request.Header, c.forwardsHeader)
-	c.body = append([]byte(nil), rc.Request.Body()...)
+	c.body = rc.Request.Body() // read by the ingress for this request alone
 	return c, nil
 }
 
@@ -233,7 +254,7 @@
 		status = fasthttp.StatusBadGateway
 	}
 	rc.SetStatusCode(status)
-	rc.SetBody(reply.Body)
+	rc.Response.SetBodyRaw(reply.Body) // the reply is this request's alone
 }
 
 // impliesNotRun reports whether clients take a status to mean that the request
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -45,7 +45,10 @@
 	quotaAsks     tally.Counter
 	invalidLoads  tally.Counter
 
-	inFlight, waiting, slots, usable, loss, threshold, demand, version, age, upstreams, limited, limit, pace, reportedBusy tally.Gauge
+	memory *memoryGauges
+	ahead  tally.Counter
+
+	inFlight, waiting, slots, usable, loss, threshold, demand, version, age, upstreams, limited, limit, pace, reportedBusy, readAhead tally.Gauge
 }
 
 // storeOutcome identifies a counter of calls to the object API: the call, and
@@ -69,6 +72,9 @@
 		unserved:      scope.Counter("services_without_upstream"),
 		quotaAsks:     scope.Counter("quota_questions"),
 		invalidLoads:  scope.Counter("upstream_loads_ignored"),
+		memory:        newMemoryGauges(scope),
+		ahead:         scope.Counter("requests_run_ahead"),
+		readAhead:     scope.Gauge("read_ahead_bytes"),
 		inFlight:      scope.Gauge("door_in_flight"),
 		waiting:       scope.Gauge("door_waiting"),
 		slots:         scope.Gauge("door_slots"),
@@ -191,6 +197,7 @@
 func (n *Node) runGauges(ctx context.Context) error {
 	for wait.For(ctx, reportInterval) == nil {
 		load := n.sched.Load(time.Now(), "")
+		n.metrics.readAhead.Update(float64(n.ingress.ReadAheadBytes()))
 		n.metrics.inFlight.Update(float64(load.InFlight))
 		n.metrics.waiting.Update(float64(load.Waiting))
 		n.metrics.slots.Update(float64(load.Slots))
@@ -210,6 +217,7 @@
 		report, _ := n.loadReport()
 		n.metrics.pace.Update(report.Pace)
 		n.metrics.reportedBusy.Update(report.Busy)
+		n.updateMemory()
 	}
 	return nil
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -53,9 +53,9 @@
 	// clientIdleTimeout is how long a client's connection may stay idle. It is
 	// above the idle time that operators allow clients.
 	clientIdleTimeout = 60 * time.Second
-	// answerMemoryDivisor gives the part of the memory that answers may hold while
-	// they are read. Each of them is copied a few times before it is delivered.
-	answerMemoryDivisor = 16
+	// answerMemoryDivisor gives the part of the memory that answers of the upstream
+	// may hold until they have been passed on. Each is copied once for its link.
+	answerMemoryDivisor = 8
 	// platformBody bounds the body of a heartbeat or of a readiness check, and
 	// platformRequest all that is read for one, in bytes.
 	platformBody    = 16 << 10
@@ -105,6 +105,7 @@
 	callers      *callers.Tracker
 	pressure     *pressure.Table
 	shares       shares
+	budgets      budgets
 	budget       *budget
 	losses       losses.Tracker // of the local upstream
 	lostRuns     lostRuns
@@ -177,6 +178,7 @@
 		correlation:    correlation.New(),
 		callers:        callers.New(),
 		pressure:       pressure.New(),
+		budgets:        newBudgets(cfg.Memory),
 		budget:         newBudget(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow),
 		poison:         poison.New(),
 		metrics:        newMetrics(),
@@ -196,10 +198,10 @@
 	n.target = newTarget(n)
 	n.peers = newPeers(n)
 	n.quotas = newQuotas(n, cfg)
-	n.ingress = ingress.NewWithOptions(ingress.Options{HeaderBytes: maxHeaderBytes, IdleTimeout: clientIdleTimeout, Log: connLog{log}}, n.serveClient)
+	n.ingress = ingress.NewWithOptions(n.ingressOptions(), n.serveClient)
 	n.ready = newPlatformServer(n.serveReady, log)
 	n.heartbeats = newPlatformServer(n.serveHeartbeat, log)
-	n.metricsServer = &http.Server{Handler: n.metrics.handler(), ReadHeaderTimeout: scrapeTimeout}
+	n.metricsServer = &http.Server{Handler: n.operatorHandler(), ReadHeaderTimeout: scrapeTimeout}
 	n.linkServer = link.NewServer(n, &n.traffic)
 	return n
 }
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -9,6 +9,7 @@
 
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
+	"heathershed/internal/link"
 	"heathershed/internal/outcome"
 	"heathershed/internal/upstream"
 	"heathershed/internal/vm/correlation"
@@ -21,7 +22,17 @@
 func (n *Node) Call(ctx context.Context, req *linkpb.CallRequest) *linkpb.CallReply {
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
-	return n.serveLocal(ctx, req)
+	release, rejection := n.holdBody(req)
+	if rejection != nil {
+		return rejection
+	}
+	defer release()
+	ctx, held := upstream.WithHeld(ctx)
+	reply := n.serveLocal(ctx, req)
+	if !link.OnSent(ctx, held.Release) {
+		held.Release()
+	}
+	return reply
 }
 
 // serveLocal runs a call at the local upstream if the scheduler admits it. The
@@ -174,7 +185,7 @@
 		Caller:    req.FromService,
 		Workspace: req.Workspace,
 	})
-	hreq.SetBody(req.Body)
+	hreq.SetBodyRaw(req.Body) // not copied: it may be large
 }
 
 // observeOutcome updates the state of the upstream: a request answered by
