--- a/internal/sidecar/quota_test.go
+++ b/internal/sidecar/quota_test.go
@@ -144,3 +144,21 @@
 		t.Errorf("got %d attempts at upstreams, want at most %v", got, most)
 	}
 }
+
+// Guards against a node that spends the whole limit after it has lost the others.
+func TestNodeAloneHasOnlyItsShare(t *testing.T) {
+	const rate = 60
+	tc := newTestCluster(t)
+	tc.writeConfig(limitedConfig(1, rate, 0, "near"))
+	nodes := tc.startLimited(3)
+	nodes[0].waitServingKey("/near/1", "k1")
+	nodes[1].halt()
+	nodes[2].halt()
+	time.Sleep(3 * time.Second)
+	began := time.Now()
+	got := burstOf(nodes[:1], "k1", 300, 15*time.Millisecond)
+	share := rate / 3 * time.Since(began).Seconds()
+	if float64(got[200]) > 1.1*share+20 || float64(got[200]) < 0.7*share {
+		t.Errorf("got %v by status at one of three nodes, want %v to %v times 200", got, 0.7*share, 1.1*share+20)
+	}
+}
