quota: nodes that have started together need not wait for earlier delegations

Cause: a node that has started delegates nothing for as long as a delegation of before its start may last (2.1 s at 88 nodes).

Change: a node does not wait where each node that may hold a delegation of it, the coordinators and as many further ones by rank, can be reached and has started with it.

What it relies on, besides the clocks of the VMs: a process that has ended does not start again and open its links within 0.3 s.

--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -140,7 +140,10 @@
 	self    string
 	id      ID
 	started time.Time
-	latest  time.Time
+	// together is when the nodes that may hold a delegation of before the start were
+	// found to have started with this one; the zero time if they were not.
+	together time.Time
+	latest   time.Time
 
 	accounts map[string]*account
 	// members holds the nodes that may be alive, this one included, with the time at
@@ -318,6 +321,35 @@
 
 func (n *Node) valid() time.Duration { return validRenewals * n.renewal() }
 
+// SetStartedTogether tells which nodes can be reached and have started with this one, as
+// after a loss of power. They hold no delegation of before this node's start. If these are
+// all that may hold one, the node need not wait for its end. Those that may are the
+// coordinators, and as many further nodes by rank, which take the places of coordinators
+// that fail.
+func (n *Node) SetStartedTogether(now time.Time, together func(vm string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now = n.settle(now)
+	if !n.together.IsZero() || n.confirmed.IsZero() || n.waited(now) {
+		return
+	}
+	for i, r := range n.ranked {
+		if i == 2*n.coordinators() {
+			break
+		}
+		must := i < n.coordinators() || n.linked[r.id]
+		if r.name != n.self && must && !together(r.name) {
+			return
+		}
+	}
+	n.together = now
+}
+
+// waited reports whether no delegation of before the start of this node lasts.
+func (n *Node) waited(now time.Time) bool {
+	return !n.together.IsZero() || now.Sub(n.started) >= n.valid()
+}
+
 // Delegate returns the delegations that are due. A node that has started sends none for
 // as long as one of before its start may last, nor before it has read the records: it
 // may not know all nodes.
@@ -325,7 +357,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now = n.settle(now)
-	if now.Sub(n.started) < n.valid() || len(n.accounts) == 0 || n.confirmed.IsZero() {
+	if !n.waited(now) || len(n.accounts) == 0 || n.confirmed.IsZero() {
 		return nil
 	}
 	n.promises.removeEnded(now)
@@ -379,10 +411,17 @@
 // which all nodes have delegated their shares, if all have started with it.
 const settledAfter = time.Second
 
+// settledTogetherAfter is the same where the node need not wait: the owners have the
+// delegations of most nodes after two renewals at the least.
+const settledTogetherAfter = 2 * minRenewal
+
 // Settled reports whether there are tokens even if all nodes have started with this one.
 func (n *Node) Settled(now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if !n.together.IsZero() {
+		return now.Sub(n.together) >= settledTogetherAfter
+	}
 	return len(n.accounts) == 0 || now.Sub(n.started) >= n.valid()+settledAfter
 }
 
@@ -496,7 +535,7 @@
 		}
 	}
 	owner := ownerIn(n.promises.list, a.id)
-	if owner == n.id && len(n.promises.list) > 1 && now.Sub(n.started) < 2*n.valid()+maxLinger && a.stock(now) < 1 {
+	if owner == n.id && len(n.promises.list) > 1 && n.together.IsZero() && now.Sub(n.started) < 2*n.valid()+maxLinger && a.stock(now) < 1 {
 		// This node has started; the others may still ask the one that is next.
 		others := slices.DeleteFunc(slices.Clone(n.promises.list), func(id ID) bool { return id == n.id })
 		owner = ownerIn(others, a.id)
--- a/internal/quota/node_test.go
+++ b/internal/quota/node_test.go
@@ -206,3 +206,35 @@
 		t.Errorf("a window later: got %v, want that w is not limited after 3 rejections", got)
 	}
 }
+
+// Guards against nodes that all reject for seconds after they have lost power together,
+// and against one that does not wait although a coordinator may hold its delegation.
+func TestNodesThatStartTogetherDelegateAtOnce(t *testing.T) {
+	names := []string{"a", "b", "c", "d"}
+	cases := []struct {
+		name     string
+		together func(vm string) bool
+		want     bool
+	}{
+		{"all started together", func(string) bool { return true }, true},
+		{"one was there before", func(vm string) bool { return vm != "b" }, false},
+	}
+	for _, c := range cases {
+		now := time.Unix(1000, 0)
+		n := NewNode("a", Config{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, now)
+		n.SetWorkspaces(now, []Workspace{{Name: "w", Limit: Limit{Rate: 10, Burst: 10}}})
+		now = now.Add(100 * time.Millisecond)
+		if n.SetStartedTogether(now, c.together); n.waited(now) {
+			t.Errorf("%s: waited before the records were read", c.name)
+		}
+		n.SetMembers(now, names, now)
+		n.SetLinked(now, func(string) bool { return true })
+		n.SetStartedTogether(now, c.together)
+		if got := len(n.Delegate(now)) > 0; got != c.want {
+			t.Errorf("%s: delegates at once: %v, want %v", c.name, got, c.want)
+		}
+		if got := n.Settled(now.Add(settledTogetherAfter)); got != c.want {
+			t.Errorf("%s: settled: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/sidecar/quota.go
+++ b/internal/sidecar/quota.go
@@ -154,6 +154,7 @@
 			q.setMembers(q.n.peers.names())
 		}
 		q.linksChanged()
+		q.state.SetStartedTogether(bootclock.Now(), q.startedTogether)
 		for _, d := range q.state.Delegate(bootclock.Now()) {
 			f := q.frame()
 			f.QuotaDelegation = delegationMessage(d.Delegation)
@@ -166,6 +167,20 @@
 	return nil
 }
 
+// togetherWithin is the difference of their starts up to which two processes count as
+// started together. It is shorter than the time in which a process can end, start again
+// and open its links.
+const togetherWithin = 300 * time.Millisecond
+
+// startedTogether reports whether a node can be reached and has started together with
+// this one or later. Incarnations are the times of starts.
+func (q *quotas) startedTogether(vm string) bool {
+	q.mu.Lock()
+	s := q.sessions[vm]
+	q.mu.Unlock()
+	return s != nil && s.Peer().Incarnation+uint64(togetherWithin.Microseconds()) >= q.n.incarnation.Load()
+}
+
 func (q *quotas) logChange(c quota.Change) {
 	if c.Limited {
 		q.n.log.Info("workspace at its limit", "workspace", c.Workspace, "rejected", c.Rejected)
