An upstream may start again under its id

Cause: the platform lets an upstream start again under the id that it had, with sequence numbers that start anew, and says when it started ("born"). That field was not read.

Change: nodes know a start by its id and its time (instance.Identity); the id alone is what the upstream is addressed by. Heartbeats of an earlier start are late for good. Where upstreams don't report their start, the identity is the id, as before.

Evidence: the new test of the tracker fails without the change by construction; tests of heartbeats, records, leaving and notices of internal/sidecar pass.

--- a/internal/sidecar/leaving.go
+++ b/internal/sidecar/leaving.go
@@ -63,7 +63,7 @@
 	for {
 		value, changed := n.stored.get()
 		want := n.target.state().Stored()
-		if want.ID != id || !want.Leaving || value == want {
+		if instance.IDOf(want.ID) != id || !want.Leaving || value == want {
 			return
 		}
 		select {
@@ -132,11 +132,11 @@
 		return false
 	}
 	n.target.update("health", func(tr *instance.Tracker) instance.Change {
-		if id != expected {
+		if id != instance.IDOf(expected) {
 			return tr.Misdirected(expected, id)
 		}
 		return tr.Healthy(id)
 	})
-	n.observeServerLoad(id, sent, out, answer)
+	n.observeServerLoad(n.target.state().ID, sent, out, answer)
 	return true
 }
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -181,7 +181,7 @@
 	platform.SetOutbound(&hreq.Header, platform.Outbound{
 		Attempt:   req.AttemptId,
 		Remaining: left,
-		Instance:  state.ID,
+		Instance:  instance.IDOf(state.ID),
 		Caller:    req.FromService,
 		Workspace: req.Workspace,
 	})
--- a/internal/sidecar/upstreamload.go
+++ b/internal/sidecar/upstreamload.go
@@ -9,6 +9,7 @@
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
 	"heathershed/internal/upstream"
+	"heathershed/internal/vm/instance"
 	"heathershed/internal/vm/upstreamload"
 	"heathershed/platform"
 )
@@ -31,7 +32,7 @@
 	if !n.cfg.UpstreamLoad || out.Reason != contract.ReasonNone && out.Reason != contract.ReasonUpstreamRefused {
 		return
 	}
-	if from := platform.InstanceOf(answer); from != "" && from != id || id != n.target.state().ID {
+	if from := platform.InstanceOf(answer); from != "" && from != instance.IDOf(id) || id != n.target.state().ID {
 		return
 	}
 	sample, ok, err := platform.ReadServerLoad(answer)
--- a/internal/vm/instance/instance.go
+++ b/internal/vm/instance/instance.go
@@ -12,16 +12,46 @@
 
 import (
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 )
 
 // MaxSlots bounds the slots of an instance.
 const MaxSlots = 1_000_000
 
+// bornSeparator is between the id and the start in an identity. No id contains it.
+const bornSeparator = "/"
+
+// Identity returns the name by which nodes know one start of an upstream: its id, with
+// the Unix millisecond of its start if the upstream reports that. An upstream may start
+// again under the id that it had.
+func Identity(id string, born int64) string {
+	if born == 0 {
+		return id
+	}
+	return id + bornSeparator + strconv.FormatInt(born, 10)
+}
+
+// IDOf returns the id in an identity, by which the upstream knows itself.
+func IDOf(identity string) string {
+	id, _, _ := strings.Cut(identity, bornSeparator)
+	return id
+}
+
+// bornOf returns the start in an identity; 0 if it has none.
+func bornOf(identity string) int64 {
+	_, text, _ := strings.Cut(identity, bornSeparator)
+	born, _ := strconv.ParseInt(text, 10, 64) // written by Identity
+	return born
+}
+
 // Heartbeat is one heartbeat of an upstream.
 type Heartbeat struct {
-	// ID names the instance.
+	// ID is the id of the upstream, and Born the Unix millisecond of its start; 0 if it
+	// does not report that.
 	ID      string
+	Born    int64
 	Service string
 	// Address is the ip:port at which it serves.
 	Address string
@@ -38,6 +68,7 @@
 // State is what is known of the current instance. The zero State means that
 // none is known.
 type State struct {
+	// ID is the identity of the instance, see Identity.
 	ID, Service string
 	Slots       int
 	// Ready says that it takes requests.
@@ -178,7 +209,7 @@
 // Healthy records that the upstream has passed a health check as the instance
 // id: one that is expected takes requests then.
 func (t *Tracker) Healthy(id string) Change {
-	if id != t.state.ID || !t.state.Unconfirmed() {
+	if id != IDOf(t.state.ID) || !t.state.Unconfirmed() {
 		return Same
 	}
 	t.state.Expected, t.state.Ready = false, true
@@ -187,14 +218,16 @@
 
 // HandleHeartbeat applies a heartbeat. A late one can't end a drain, but it can
 // announce one, which is obeyed since it is acknowledged, and it shows that a lost
-// instance is there.
+// instance is there. One of an earlier start under the same id is late for good.
 func (t *Tracker) HandleHeartbeat(now time.Time, h Heartbeat) Change {
-	if h.Address != t.address || t.hasEnded(h.ID) {
+	identity := Identity(h.ID, h.Born)
+	earlier := IDOf(t.state.ID) == h.ID && h.Born < bornOf(t.state.ID)
+	if h.Address != t.address || earlier || t.hasEnded(identity) || t.hasEnded(h.ID) {
 		return Ignored
 	}
-	if h.ID != t.state.ID {
+	if identity != t.state.ID {
 		t.end(t.state.ID, false)
-		t.state = State{ID: h.ID}
+		t.state = State{ID: identity}
 		t.apply(now, h)
 		return Started
 	}
@@ -234,17 +267,21 @@
 	t.state.WarmUntil = now.Add(h.Warmup)
 }
 
-// Deregister records that an instance has ended.
+// Deregister records that the instance of an id has ended: the current one, if it has
+// that id.
 func (t *Tracker) Deregister(id string) Change {
-	if t.hasEnded(id) {
-		return Ignored
+	if id == IDOf(t.state.ID) {
+		if t.hasEnded(t.state.ID) {
+			return Ignored
+		}
+		t.end(t.state.ID, true)
+		t.state.leave()
+		return Leaving
 	}
-	t.end(id, true)
-	if id != t.state.ID {
-		return Ignored
+	if !slices.ContainsFunc(t.ended, func(e endedInstance) bool { return IDOf(e.id) == id }) {
+		t.end(id, true)
 	}
-	t.state.leave()
-	return Leaving
+	return Ignored
 }
 
 // ConnectionRefused records that the address of the instance refuses
@@ -263,7 +300,7 @@
 // the answer names none.
 func (t *Tracker) Misdirected(expected, actual string) Change {
 	t.forgetEnded(actual)
-	if expected != t.state.ID || actual == expected {
+	if expected != t.state.ID || actual == IDOf(expected) {
 		return Same
 	}
 	t.end(expected, false)
@@ -273,7 +310,7 @@
 
 // forgetEnded removes an instance from the ended ones: it has just answered.
 func (t *Tracker) forgetEnded(id string) {
-	t.ended = slices.DeleteFunc(t.ended, func(e endedInstance) bool { return e.id == id })
+	t.ended = slices.DeleteFunc(t.ended, func(e endedInstance) bool { return IDOf(e.id) == id })
 }
 
 func (t *Tracker) hasEnded(id string) bool {
--- a/internal/vm/instance/instance_test.go
+++ b/internal/vm/instance/instance_test.go
@@ -247,3 +247,35 @@
 		t.Fatalf("got %d ended instances remembered, want at most %d", len(tr.ended), maxEnded)
 	}
 }
+
+// Guards against an upstream that starts again under its id and is ignored, because its
+// sequence numbers start anew or its earlier start has left, and against a late heartbeat
+// of the earlier start that counts for the later one.
+func TestUpstreamMayStartAgainUnderItsID(t *testing.T) {
+	born := func(ms int64, seq uint64) Heartbeat {
+		h := heartbeat("a", seq)
+		h.Born = ms
+		return h
+	}
+	draining := born(100, 9)
+	draining.Draining = true
+	deregister := func(tr *Tracker) Change { return tr.Deregister("a") }
+	run(t, []step{
+		{"first start", handle(born(100, 8)), Started, "a/100", true},
+		{"drains", handle(draining), Leaving, "a/100", false},
+		{"deregisters", deregister, Leaving, "a/100", false},
+		{"late heartbeat of the first start", handle(born(100, 8)), Ignored, "a/100", false},
+		{"second start", handle(born(200, 1)), Started, "a/200", true},
+		{"late heartbeat of the first start", handle(born(100, 10)), Ignored, "a/200", true},
+		{"late heartbeat without a start", handle(heartbeat("a", 11)), Ignored, "a/200", true},
+		{"next", handle(born(200, 2)), Same, "a/200", true},
+		{"third start, the second said nothing", handle(born(300, 1)), Started, "a/300", true},
+		{"answers by its id", func(tr *Tracker) Change { return tr.Misdirected("a/300", "a") }, Same, "a/300", true},
+		{"another answers", func(tr *Tracker) Change { return tr.Misdirected("a/300", "b") }, Lost, "", false},
+	})
+	run(t, []step{
+		{"record", func(tr *Tracker) Change { return tr.Restore(stored("a/100")) }, Started, "a/100", false},
+		{"health check", func(tr *Tracker) Change { return tr.Healthy("a") }, Started, "a/100", true},
+		{"later start", handle(born(200, 1)), Started, "a/200", true},
+	})
+}
