quota: nodes that start together delegate once they know one another

Two nodes that started together each counted one node and created tokens at the whole rate until the pools expired: 44 attempts in 2.2 s at 10/s, seen in TestRetriesCountAgainstTheLimit (no more than 43.5 allowed). The records count as known only after the own one is written and they are read again, and a node delegates a delegation's life later.

--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -151,8 +151,9 @@
 	members map[string]time.Time
 	ranked  []ranked
 	names   map[ID]string
-	// confirmed is when the records were read last.
+	// confirmed is when the records were read last, and knowing since when they are known.
 	confirmed time.Time
+	knowing   time.Time
 	received  received
 	promises  promises
 	// linked holds the nodes that messages can be sent to.
@@ -234,6 +235,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now = n.settle(now)
+	if n.confirmed.IsZero() && !confirmed.IsZero() {
+		n.knowing = now
+	}
 	n.confirmed = confirmed
 	changed := false
 	for _, vm := range append(known, n.self) {
@@ -345,19 +349,21 @@
 	n.together = now
 }
 
-// waited reports whether no delegation of before the start of this node lasts.
+// waited reports whether no delegation of before the start of this node lasts, and it has
+// known the records for long enough.
 func (n *Node) waited(now time.Time) bool {
-	return !n.together.IsZero() || now.Sub(n.started) >= n.valid()
+	known := !n.confirmed.IsZero() && now.Sub(n.knowing) >= n.valid()
+	return known || !n.together.IsZero()
 }
 
 // Delegate returns the delegations that are due. A node that has started sends none for
-// as long as one of before its start may last, nor before it has read the records: it
-// may not know all nodes.
+// as long as one of before its start may last. It sends none either until it has known
+// the records for that long: nodes that start together learn of one another meanwhile.
 func (n *Node) Delegate(now time.Time) []Delegating {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now = n.settle(now)
-	if !n.waited(now) || len(n.accounts) == 0 || n.confirmed.IsZero() {
+	if !n.waited(now) || len(n.accounts) == 0 {
 		return nil
 	}
 	n.promises.removeEnded(now)
@@ -422,7 +428,7 @@
 	if !n.together.IsZero() {
 		return now.Sub(n.together) >= settledTogetherAfter
 	}
-	return len(n.accounts) == 0 || now.Sub(n.started) >= n.valid()+settledAfter
+	return len(n.accounts) == 0 || !n.knowing.IsZero() && now.Sub(n.knowing) >= n.valid()+settledAfter
 }
 
 // settle ends the delegations that have ended by now, after the tokens of the time up to
@@ -521,6 +527,14 @@
 // maxLinger bounds how long a node asks an earlier owner after its promises have ended.
 const maxLinger = time.Second
 
+// knownFor returns for how long this node has known the records.
+func (n *Node) knownFor(now time.Time) time.Duration {
+	if n.knowing.IsZero() {
+		return 0
+	}
+	return now.Sub(n.knowing)
+}
+
 // ownerToAsk returns the owner of a workspace, or 0 if there is none. Where another one
 // takes it over, that is the earlier one for as long as the promise to it lasts, and for
 // half of the life of the tokens that it has: the next one has none at first.
@@ -535,7 +549,7 @@
 		}
 	}
 	owner := ownerIn(n.promises.list, a.id)
-	if owner == n.id && len(n.promises.list) > 1 && n.together.IsZero() && now.Sub(n.started) < 2*n.valid()+maxLinger && a.stock(now) < 1 {
+	if owner == n.id && len(n.promises.list) > 1 && n.together.IsZero() && n.knownFor(now) < 2*n.valid()+maxLinger && a.stock(now) < 1 {
 		// This node has started; the others may still ask the one that is next.
 		others := slices.DeleteFunc(slices.Clone(n.promises.list), func(id ID) bool { return id == n.id })
 		owner = ownerIn(others, a.id)
@@ -552,7 +566,7 @@
 	if g.Granted > 0 {
 		return Decision{Verdict: Admitted}
 	}
-	if now.Sub(n.started) < n.valid() { // links to the owner may not be up yet
+	if n.knownFor(now) < n.valid() { // links to the owner may not be up yet
 		return Decision{Verdict: Unknown}
 	}
 	a.denied = now.Add(g.RetryAfter)
--- a/internal/sidecar/quota.go
+++ b/internal/sidecar/quota.go
@@ -50,6 +50,9 @@
 	state *quota.Node
 	// on is set while the settings and the active configuration name a limit.
 	on atomic.Bool
+	// restarted says that an earlier process of this VM has left a record. The records
+	// name the other nodes then; at the first start of a fleet they don't yet.
+	restarted atomic.Bool
 	// read is when the records of the nodes were read last, nil for never.
 	read atomic.Pointer[time.Time]
 
@@ -154,7 +157,9 @@
 			q.setMembers(q.n.peers.names())
 		}
 		q.linksChanged()
-		q.state.SetStartedTogether(bootclock.Now(), q.startedTogether)
+		if q.restarted.Load() {
+			q.state.SetStartedTogether(bootclock.Now(), q.startedTogether)
+		}
 		for _, d := range q.state.Delegate(bootclock.Now()) {
 			f := q.frame()
 			f.QuotaDelegation = delegationMessage(d.Delegation)
--- a/internal/sidecar/quota_test.go
+++ b/internal/sidecar/quota_test.go
@@ -34,6 +34,9 @@
 		tc.waitFor("ready", m.ready)
 		m.heartbeat("near", "ready")
 	}
+	for _, m := range nodes {
+		tc.waitFor("tokens", m.node.quotas.settled)
+	}
 	return nodes
 }
 
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -141,12 +141,15 @@
 	newBackoff().Retry(ctx, func() bool { return d.syncAll(ctx) })
 	if !d.found {
 		d.n.recordChanged.Wait(ctx, firstHeartbeatWait)
+	} else {
+		d.n.quotas.restarted.Store(true)
 	}
 	if d.desired() != d.written {
 		d.write(ctx)
 		newBackoff().Retry(ctx, func() bool { return d.syncAll(ctx) })
 	}
 	d.n.listed.Store(true)
+	d.n.quotas.recordsRead(bootclock.Now())
 }
 
 // desired returns the record as it should be stored. Until the first
@@ -234,7 +237,6 @@
 
 // syncAll merges all records and reports whether they could be read.
 func (d *recordTask) syncAll(ctx context.Context) bool {
-	began := bootclock.Now()
 	objects, err := d.listObjects(ctx, false)
 	if err != nil {
 		return false
@@ -246,7 +248,6 @@
 		}
 	}
 	d.merge(objects)
-	d.n.quotas.recordsRead(began)
 	return true
 }
 
