ingress: the read-ahead allocates no chunk because its size was announced

The read-ahead parses a chunked body that has begun with the HTTP library, which allocates a chunk when its size is announced, up to 8 MiB for each connection.

Change: the body that the library reads there is bounded by the bytes that have arrived. Crowd and bounds of the test are untouched.

--- a/internal/ingress/framing.go
+++ b/internal/ingress/framing.go
@@ -99,8 +99,10 @@
 		return 0, incomplete
 	}
 	const preParseForms = false // as the server
-	if err := req.ContinueReadBody(r, maxBody, preParseForms); err != nil {
-		if rest.Len() == 0 && r.Buffered() == 0 && !errors.Is(err, fasthttp.ErrBodyTooLarge) {
+	// The codec allocates a chunk as soon as its size is announced, so the body is bounded
+	// by what has arrived.
+	if err := req.ContinueReadBody(r, len(data), preParseForms); err != nil {
+		if errors.Is(err, fasthttp.ErrBodyTooLarge) || rest.Len() == 0 && r.Buffered() == 0 {
 			return 0, incomplete
 		}
 		return 0, invalid
