Soak: a workspace with a limit, slow start and reported load

With -workspaces one of the two workspaces has a limit of 20 requests a second over all nodes, and the run checks each window of 5 s; slow start and the load that upstreams report are on. A planted overrun of twice the limit is found.

--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -46,6 +46,8 @@
 	// Crashes: a request that crashes upstreams runs at most crashMaxLate times
 	// once all nodes can know of it.
 	Crashes Promise = "crashes"
+	// OverQuota: a workspace stays within its limit over all nodes, whatever fails.
+	OverQuota Promise = "over quota"
 	// KeyForwarded: no upstream gets a key.
 	KeyForwarded Promise = "key forwarded"
 	// KeyRevoked: a request that is sent later than revokeWithin after its key was
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -108,6 +108,7 @@
 	cancel()
 	wg.Wait()
 	r.shutdownAll()
+	r.ledger.workspaces.checkLimit()
 	report.Violations, report.Summary = r.ledger.Violations(), r.ledger.Summary()
 	return report, r.failed
 }
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -80,6 +80,8 @@
 	}
 	if p.workspaces {
 		cfg.StrictRevoke, cfg.RevokeWithin = true, revokeWithin
+		cfg.QuotaWindow, cfg.QuotaOverage, cfg.QuotaSlack = quotaWindow, quotaOverage, quotaSlack
+		cfg.UpstreamLoad, cfg.SlowStart = true, true
 	}
 	ini := filepath.Join(p.dir, p.name+".ini")
 	if err := writeSettings(ini, cfg); err != nil {
--- a/internal/soak/workspaces.go
+++ b/internal/soak/workspaces.go
@@ -30,12 +30,24 @@
 // without a key a call is told from a client's request by its route.
 const callRoute = "calls"
 
+// The last workspace has a limit: in any quotaWindow, at most (limitedRate x quotaWindow +
+// limitedBurst) x (1 + quotaOverage) + quotaSlack of its requests are sent and run.
+const (
+	limitedRate  = 20.0 // requests a second
+	limitedBurst = 20.0
+	quotaWindow  = 5 * time.Second
+	quotaOverage = 0.1
+	quotaSlack   = 5.0
+)
+
 // unknownKey is a key that no configuration holds.
 const unknownKey = "never-valid"
 
 // workspaceNames are the workspaces of a run.
 var workspaceNames = []string{"w0", "w1"}
 
+func limitedWorkspace() string { return workspaceNames[len(workspaceNames)-1] }
+
 // permanentKey returns the key that a workspace holds in all versions.
 func permanentKey(workspace string) string { return workspace + "-permanent" }
 
@@ -74,8 +86,13 @@
 	version int
 	// revoked is when the version that took a key away was acknowledged.
 	revoked map[string]time.Time
+	// limited are the runs of clients' requests of the workspace with a limit.
+	limited []limitedRun
 }
 
+// limitedRun is when a request was sent and when it began to run.
+type limitedRun struct{ sent, ran time.Time }
+
 func newWorkspaces(l *Ledger) *workspaces {
 	return &workspaces{ledger: l, sent: make(map[string]credential), revoked: make(map[string]time.Time)}
 }
@@ -94,7 +111,8 @@
 		return config
 	}
 	config = platformtest.WithRoute(config, callRoute, services[0])
-	return platformtest.WithWorkspaces(config, workspaceKeys(version), "")
+	config = platformtest.WithWorkspaces(config, workspaceKeys(version), "")
+	return platformtest.WithLimit(config, limitedWorkspace(), limitedRate, limitedBurst)
 }
 
 // accepted records that the object API has acknowledged a version.
@@ -185,7 +203,37 @@
 	if uncertain := nested && got == ""; got != c.workspace && !uncertain {
 		w.ledger.AddViolation(WrongWorkspace, attempt, fmt.Sprintf("workspace %q, want %q", got, c.workspace))
 	}
+	if c.workspace == limitedWorkspace() && !nested {
+		w.mu.Lock()
+		w.limited = append(w.limited, limitedRun{c.sent, time.Now()})
+		w.mu.Unlock()
+	}
 	if late := c.sent.Sub(revoked); !nested && !revoked.IsZero() && late > revokeWithin {
 		w.ledger.AddViolation(KeyRevoked, attempt, fmt.Sprintf("sent %v after its key was taken away", late.Round(time.Millisecond)))
 	}
 }
+
+// checkLimit checks the limit over all windows of the run.
+func (w *workspaces) checkLimit() {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	allowed := (limitedRate*quotaWindow.Seconds()+limitedBurst)*(1+quotaOverage) + quotaSlack
+	most, at := 0, time.Time{}
+	for _, first := range w.limited {
+		count := 0
+		for _, r := range w.limited {
+			if !r.sent.Before(first.sent) && r.ran.Before(first.sent.Add(quotaWindow)) {
+				count++
+			}
+		}
+		if count > most {
+			most, at = count, first.sent
+		}
+	}
+	if float64(most) > allowed {
+		w.ledger.AddViolation(OverQuota, "", fmt.Sprintf("%d requests from %v on, %.0f allowed", most, at.Sub(w.ledger.start).Round(time.Millisecond), allowed))
+	}
+}
--- a/internal/soak/workspaces_test.go
+++ b/internal/soak/workspaces_test.go
@@ -49,3 +49,20 @@
 		}
 	}
 }
+
+// Guards against a check that misses a workspace over its limit, or finds one that is not.
+func TestPlantedOverrunOfALimitIsFound(t *testing.T) {
+	const attempts = 300
+	for interval, want := range map[time.Duration]int{time.Second / limitedRate: 0, time.Second / (2 * limitedRate): 1} {
+		l := NewLedger(time.Now())
+		w := newWorkspaces(l)
+		for i := range attempts {
+			at := time.Now().Add(time.Duration(i) * interval)
+			w.limited = append(w.limited, limitedRun{at, at})
+		}
+		w.checkLimit()
+		if got := len(l.Violations()); got != want {
+			t.Errorf("a request each %v: got %d violations, want %d", interval, got, want)
+		}
+	}
+}
