quota: nodes restart together although some nodes are gone

Cause: after a loss of power at all nodes, requests of workspaces with a limit were rejected for three seconds: the nodes waited for delegations of before, which nobody held any more.

--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -326,10 +326,11 @@
 func (n *Node) valid() time.Duration { return validRenewals * n.renewal() }
 
 // SetStartedTogether tells which nodes can be reached and have started with this one, as
-// after a loss of power. They hold no delegation of before this node's start. If these are
-// all that may hold one, the node need not wait for its end. Those that may are the
-// coordinators, and as many further nodes by rank, which take the places of coordinators
-// that fail.
+// after a loss of power. They hold no delegation of before this node's start. If most that
+// may hold one have, and none that can be reached may, the node need not wait for its end.
+// Those that may are the coordinators, and as many further nodes by rank, which take the
+// places of coordinators that fail. A few may be out of reach: the records name nodes that
+// are gone, too.
 func (n *Node) SetStartedTogether(now time.Time, together func(vm string) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -337,18 +338,25 @@
 	if !n.together.IsZero() || n.confirmed.IsZero() || n.waited(now) {
 		return
 	}
-	for i, r := range n.ranked {
-		if i == 2*n.coordinators() {
-			break
-		}
-		must := i < n.coordinators() || n.linked[r.id]
-		if r.name != n.self && must && !together(r.name) {
+	unreachable := 0
+	for i, r := range n.ranked[:min(2*n.coordinators(), len(n.ranked))] {
+		switch {
+		case r.name == n.self || together(r.name):
+		case n.linked[r.id]:
 			return
+		case i < n.coordinators():
+			unreachable++
 		}
 	}
-	n.together = now
+	if unreachable <= min(n.coordinators(), len(n.ranked))/unreachableDivisor {
+		n.together = now
+	}
 }
 
+// unreachableDivisor bounds the part of the coordinators that may be out of reach of nodes
+// that have started together.
+const unreachableDivisor = 4
+
 // waited reports whether no delegation of before the start of this node lasts, and it has
 // known the records for long enough.
 func (n *Node) waited(now time.Time) bool {
