--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -44,11 +44,11 @@
 	remoteFactor = 1 + jitter
 )
 
-// Pick chooses the upstream of the service with the lowest cost among those that
-// have room, or else the one that has most, and counts a request as outstanding
-// there until Done. If upstreams of the service report their load, it compares a few
-// that are drawn, see uneven.go. It returns false if no upstream of the service outside q.Exclude
-// can take requests.
+// Pick chooses the upstream of the service with the lowest cost among those that have
+// room, or else the one that has most, and counts a request as outstanding there until
+// Done. If upstreams of the service report their load, it compares a few that are drawn,
+// see uneven.go. It returns false if no upstream of the service outside q.Exclude can
+// take requests.
 func (f *Fleet) Pick(now time.Time, q Query) (Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/ingress/pipeline.go
+++ b/internal/ingress/pipeline.go
@@ -55,8 +55,8 @@
 	template     fasthttp.Response
 	templateOnce sync.Once
 	// memory is the size of all read-ahead buffers, requests that run ahead and ready
-	// answers, running the number
-	// of requests that run ahead, started the number that ever did.
+	// answers, running the number of requests that run ahead, and started the number
+	// that ever did.
 	memory, running, started atomic.Int64
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -266,9 +266,8 @@
 }
 
 // Apply activates the settings that can change at run time: the retry budget, the
-// tolerance of quotas, the grace period of a shutdown and the time to apply a
-// configuration. Names
-// and addresses apply only after a restart.
+// tolerance of quotas, the grace period of a shutdown and the times to apply a
+// configuration and a revocation. Names and addresses apply only after a restart.
 func (n *Node) Apply(cfg *settings.Sidecar) {
 	n.budget.setBound(cfg.RetryRatio, cfg.RetrySlack, cfg.RetryWindow)
 	n.grace.Store(int64(cfg.Grace))
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -99,9 +99,9 @@
 }
 
 // mayRetry reports whether another attempt may be made. An order that may have
-// run is never retried, nor a request that may crash upstreams. Attempts that reached no upstream are
-// free; once one has, the attempts of the route, the retry budget and the limit of the
-// workspace bound the rest.
+// run is never retried, nor a request that may crash upstreams. Attempts that reached no
+// upstream are free; once one has, the attempts of the route, the retry budget and the
+// limit of the workspace bound the rest.
 func (n *Node) mayRetry(ctx context.Context, c *call, failed outcome.Attempts) bool {
 	if ctx.Err() != nil || (failed.MayHaveRun && !c.route.Idempotent) || n.standing(c).State != poison.Free {
 		return false
--- a/internal/vm/scheduler/controller.go
+++ b/internal/vm/scheduler/controller.go
@@ -62,11 +62,11 @@
 type Load struct {
 	// InFlight, Waiting and Slots count requests.
 	InFlight, Waiting, Slots int
-	// Usable is the number of slots that are used; less than Slots while the
-	// upstream is known to slow down with all of them in use, or ramps up. Reported
-	// is the number that other nodes are told, and Ramping says that the upstream
-	// ramps up. Slowdown is the mean
-	// latency with nearly all slots in use over that with some idle; 0 if unknown.
+	// Usable is the number of slots that are used; less than Slots while the upstream is
+	// known to slow down with all of them in use, or ramps up. Reported is the number
+	// that other nodes are told. Ramping says that the upstream ramps up. Slowdown is
+	// the mean latency with nearly all slots in use over that with some idle; 0 if
+	// unknown.
 	Usable, Reported int
 	Ramping          bool
 	Slowdown         float64
