--- a/internal/sidecar/quota.go
+++ b/internal/sidecar/quota.go
@@ -157,8 +157,8 @@
 			q.setMembers(q.n.peers.names())
 		}
 		q.linksChanged()
-		if q.restarted.Load() {
-			q.state.SetStartedTogether(bootclock.Now(), q.startedTogether)
+		if q.restarted.Load() && q.state.SetStartedTogether(bootclock.Now(), q.startedTogether) {
+			q.n.log.Info("restarted with the coordinators of quotas", "after_ms", time.Since(q.n.started).Milliseconds())
 		}
 		for _, d := range q.state.Delegate(bootclock.Now()) {
 			f := q.frame()
