--- a/review/lab/slowreaders.go
+++ b/review/lab/slowreaders.go
@@ -25,10 +25,10 @@
 
 // download is the result of one client's download.
 type download struct {
-	status, length int
-	got            int64
-	err            error
-	took           time.Duration
+	status int
+	got    int64
+	err    error
+	took   time.Duration
 }
 
 // slowReaders lets clients download on kept connections and read the answers slowly.
