--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,7 +4,10 @@
 cd "$(dirname "$0")/../.." || exit 2
 trouble=true
 if [ "${TROUBLE:-1}" = 0 ]; then trouble=false; fi
-timeout -k 5 110 target/review-2/lab -case odd-drain -trouble=$trouble -record review/10/record.txt
+timeout -k 5 110 target/review-2/lab -case odd-drain -trouble=$trouble -record review/10/record.txt &
+case=$!
+trap 'kill "$case" 2>/dev/null; wait "$case"; exit 2' TERM INT HUP
+wait "$case"
 code=$?
 if [ "$code" -gt 1 ]; then exit 2; fi
 exit "$code"
