link: a message takes the memory of its size

What callers saw: a process that runs out of memory while clients read long answers slowly.

Cause, by a heap profile of the clients' node under the crowd of TestOrdersBehindUnreadAnswers: 154 of 201 MiB are buffers of the transport's pool. The pool has buffers of up to 32 KiB and then of 1 MiB, so each message between takes 1 MiB when it is encoded and again when it is decoded. Larger ones were copied when they were encoded, next to the body that the budget counts.

Now a body over 16 KiB is not copied into its message, and messages over 32 KiB are decoded from a buffer of their size. What is on the wire is the same.

--- a/internal/link/sent_test.go
+++ b/internal/link/sent_test.go
@@ -61,7 +61,7 @@
 		// stuck: the peer reads nothing.
 		stuck bool
 	}{
-		{name: "small", size: smallReply, timeout: 20 * time.Second},
+		{name: "small", size: smallBody, timeout: 20 * time.Second},
 		{name: "large", size: 4 << 20, timeout: 20 * time.Second},
 		{name: "given up", size: 8 << 20, timeout: 300 * time.Millisecond, stuck: true},
 	}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -71,7 +71,7 @@
 	traffic       *Traffic
 	heartbeatLoop *heartbeatLoop
 	grpc          *grpc.Server
-	replies       *replyCodec
+	codec         *codec
 	ctx           context.Context
 	cancel        context.CancelFunc
 
@@ -91,11 +91,11 @@
 		traffic:       t,
 		heartbeatLoop: newHeartbeatLoop(),
 		sessions:      make(map[string]*Session),
-		replies:       newReplyCodec(),
+		codec:         newCodec(),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.grpc = grpc.NewServer(
-		grpc.ForceServerCodecV2(s.replies),
+		grpc.ForceServerCodecV2(s.codec),
 		grpc.MaxRecvMsgSize(MaxMessage),
 		grpc.MaxSendMsgSize(MaxMessage),
 		grpc.InitialWindowSize(windowSize),
@@ -121,7 +121,7 @@
 	}
 	var onSent func()
 	reply := s.handler.Call(context.WithValue(ctx, onSentKey{}, &onSent), req)
-	s.replies.expect(reply, onSent, timeLeft(ctx)+sentMargin)
+	s.codec.expect(reply, onSent, timeLeft(ctx)+sentMargin)
 	reply.BodyLength = uint64(len(reply.Body))
 	return reply, nil
 }
--- a/internal/link/set.go
+++ b/internal/link/set.go
@@ -309,6 +309,7 @@
 		grpc.WithDefaultCallOptions(
 			grpc.MaxCallRecvMsgSize(MaxMessage),
 			grpc.MaxCallSendMsgSize(MaxMessage),
+			grpc.ForceCodecV2(newCodec()),
 		),
 	)
 }
