Answers wait for memory before they cross a link, and requests are rejected before they run

Cause: a reply crosses its link whole, whether or not the node of the client has room for it. There it was counted only while it was written; an answer that found no memory then closed its connection, and one that had made no progress for 250 ms was cut off for another. Progress was what the kernel had taken, which it takes in large steps.

Now the sender of a call says what answer it has room for. A larger one stays beside the upstream and is fetched once there is room. A request whose answer is expected to find no memory, at either node, is rejected before it runs, with a Retry-After from the rate at which memory was given back. Once it has run, its answer waits until the deadline. The place of another one is only taken if its client has acknowledged nothing for 3 s. An answer may be written for as long as its client takes bytes. Older nodes send all answers at once, as before.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -33,6 +33,9 @@
 	buffer [readAheadSize]byte
 }
 
+// NetConn returns the wrapped connection.
+func (c *watchedConn) NetConn() net.Conn { return c.Conn }
+
 // watch calls onClose when the caller closes the connection, until unwatch. It
 // does nothing while data is buffered that was read ahead, or after a read has
 // failed.
--- a/internal/ingress/fill.go
+++ b/internal/ingress/fill.go
@@ -4,11 +4,12 @@
 	"io"
 	"net"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"heathershed/internal/endpoint"
 )
 
 // fill reads the connection while a request is served, runs the requests that have
@@ -221,26 +222,11 @@
 // hungUp reports whether the other end has closed a connection, or its sending side.
 // Unlike a read, it tells so while bytes wait to be read.
 func hungUp(c net.Conn) bool {
-	for {
-		wrapper, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		c = wrapper.NetConn()
-	}
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
 	left := false
-	err = raw.Control(func(fd uintptr) {
+	err := endpoint.Control(c, func(fd uintptr) {
 		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		n, err := unix.Poll(fds, 0)
 		left = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	})
-	return err != nil || left
+	return left || err != nil && !errors.Is(err, endpoint.ErrNoSocket)
 }
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -4,30 +4,12 @@
 	"net"
 	"sync"
 	"time"
-
-	"github.com/cockroachdb/errors"
-
-	"heathershed/internal/memory"
 )
 
-const (
-	// freeResponse is the size of a write that needs no share of the memory, so that
-	// small answers are never lost for large ones.
-	freeResponse = 8 << 10
-	// writeStep is the size of the pieces in which a larger answer is written. Each
-	// that is accepted counts as progress.
-	writeStep = 32 << 10
-)
-
-// errNoResponseMemory ends a connection whose answer finds no memory to wait in.
-var errNoResponseMemory = errors.New("no memory is left for an answer that its client does not read")
-
-// guard bounds the connections of a server, and the answers that wait to be read by
-// their clients.
+// guard bounds the connections of a server.
 type guard struct {
-	// responses is nil for no bound, and most 0.
-	responses *memory.Budget
-	most      int
+	// most is 0 for no bound.
+	most int
 
 	mu   sync.Mutex
 	open map[*guardedConn]struct{}
@@ -35,8 +17,8 @@
 	closed int64
 }
 
-func newGuard(responses *memory.Budget, most int) *guard {
-	return &guard{responses: responses, most: most, open: make(map[*guardedConn]struct{})}
+func newGuard(most int) *guard {
+	return &guard{most: most, open: make(map[*guardedConn]struct{})}
 }
 
 // stats returns the open connections, and how many were closed at the bound since the
@@ -106,18 +88,18 @@
 	// written; since is when it was last cleared. Both are guarded by guard.mu.
 	busy  bool
 	since time.Time
+	// answers counts the answers that are to be written in pieces.
+	answers int
 }
 
 // NetConn returns the wrapped connection.
 func (c *guardedConn) NetConn() net.Conn { return c.Conn }
 
-func (c *guardedConn) setBusy(busy bool) {
+// setBusy records that a request was read completely.
+func (c *guardedConn) setBusy() {
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
-	c.busy = busy
-	if !busy {
-		c.since = time.Now()
-	}
+	c.busy = true
 }
 
 // Close implements net.Conn.
@@ -128,28 +110,28 @@
 	return c.Conn.Close()
 }
 
-// Write implements net.Conn. A large write needs a share of the memory until the
-// client has taken it. The connection is closed if none is left, or if it is the one
-// that has to give way to another.
-func (c *guardedConn) Write(p []byte) (int, error) {
-	defer c.setBusy(false)
-	if len(p) <= freeResponse || c.guard.responses == nil {
-		return c.Conn.Write(p)
-	}
-	claim := c.guard.responses.Claim(time.Now(), false, func() { _ = c.Conn.Close() })
-	defer claim.Release()
-	if !claim.Acquire(int64(len(p)), memoryWait) {
-		_ = c.Conn.Close() // part of the answer may have been written
-		return 0, errNoResponseMemory
+// addAnswers records that n more answers are to be written in pieces. Until the last one
+// is, the connection is busy.
+func (c *guardedConn) addAnswers(n int) {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.answers += n
+	if c.answers == 0 {
+		c.busy, c.since = false, time.Now()
 	}
-	written := 0
-	for written < len(p) {
-		n, err := c.Conn.Write(p[written:min(written+writeStep, len(p))])
-		written += n
-		if err != nil {
-			return written, err
-		}
-		claim.Progress(time.Now())
+}
+
+// Write implements net.Conn.
+func (c *guardedConn) Write(p []byte) (int, error) {
+	defer c.written()
+	return c.Conn.Write(p)
+}
+
+// written records that an answer was written, unless it is one in pieces.
+func (c *guardedConn) written() {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	if c.answers == 0 {
+		c.busy, c.since = false, time.Now()
 	}
-	return written, nil
 }
--- a/internal/ingress/pipeline.go
+++ b/internal/ingress/pipeline.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"heathershed/internal/memory"
 	"heathershed/internal/wait"
 )
 
@@ -44,11 +45,17 @@
 // must not change the request.
 type Idempotent func(*fasthttp.Request) bool
 
+// AnswerSize returns the size in bytes to expect of the answer to a request; 0 if it is not
+// known. It must not change the request.
+type AnswerSize func(*fasthttp.Request) int64
+
 // pipeline runs pipelined requests of a server's connections ahead. It is shared by
 // them.
 type pipeline struct {
 	handle     Handler
 	idempotent Idempotent
+	answerSize AnswerSize
+	responses  *memory.Budget
 	headBytes  int
 	draining   *atomic.Bool
 	// template is an empty answer with the settings of the server.
@@ -64,7 +71,17 @@
 const defaultHeadBytes = 4 << 10
 
 func newPipeline(o Options, handle Handler, draining *atomic.Bool) *pipeline {
-	p := &pipeline{handle: handle, idempotent: o.Idempotent, headBytes: o.HeaderBytes, draining: draining}
+	p := &pipeline{
+		handle:     handle,
+		idempotent: o.Idempotent,
+		answerSize: o.AnswerSize,
+		responses:  o.Responses,
+		headBytes:  o.HeaderBytes,
+		draining:   draining,
+	}
+	if p.answerSize == nil {
+		p.answerSize = func(*fasthttp.Request) int64 { return 0 }
+	}
 	if p.headBytes <= 0 {
 		p.headBytes = defaultHeadBytes
 	}
@@ -125,6 +142,8 @@
 	done chan struct{}
 	// held is the memory of the request and its answer. Guarded by the connection.
 	held int
+	// expected is the part of held that is for the answer until it is ready.
+	expected int
 	// dropped says that the answer is not needed. Guarded by the connection.
 	dropped bool
 }
@@ -195,6 +214,9 @@
 	return pc
 }
 
+// NetConn returns the wrapped connection.
+func (c *pipelinedConn) NetConn() net.Conn { return c.Conn }
+
 // serve answers a request that the server has read completely.
 func (c *pipelinedConn) serve(rc *fasthttp.RequestCtx) {
 	c.p.setTemplate(&rc.Response)
@@ -205,7 +227,7 @@
 	r := c.begin(cancel, concurrent, closes)
 	if r != nil {
 		<-r.done
-		r.handOver(&rc.Response)
+		c.p.handOver(ctx, r, rc)
 	} else {
 		c.p.handle(ctx, rc)
 	}
@@ -215,13 +237,27 @@
 	c.finish(r, closes || rc.Response.ConnectionClose())
 }
 
-// handOver moves the answer to the server's.
-func (r *aheadRequest) handOver(to *fasthttp.Response) {
-	from := &r.rc.Response
+// handOver moves the answer of a request that has run ahead to the server's. A large one
+// waits for memory.
+func (p *pipeline) handOver(ctx context.Context, r *aheadRequest, rc *fasthttp.RequestCtx) {
+	from, to := &r.rc.Response, &rc.Response
 	body := from.Body()
 	from.Header.CopyTo(&to.Header)
 	to.SkipBody = from.SkipBody
-	to.SetBodyRaw(body)
+	if p.responses == nil || len(body) <= FreeAnswer {
+		to.SetBodyRaw(body)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	room := p.responses.Claim(time.Now(), false, nil)
+	if err := room.Await(ctx, int64(len(body))); err != nil {
+		room.Release()
+		rc.Error("no memory was left for the answer", fasthttp.StatusBadGateway)
+		rc.SetConnectionClose()
+		return
+	}
+	SetAnswer(rc, body, room)
 }
 
 // begin starts the serving of a request. It returns the request if it has run ahead.
@@ -351,7 +387,8 @@
 			c.blocked = true
 			return
 		}
-		cost := requestCost + size
+		expected := int(c.p.answerSize(&r.rc.Request))
+		cost := requestCost + size + expected
 		if !c.p.reserve(cost) {
 			return
 		}
@@ -360,7 +397,7 @@
 			c.p.memory.Add(-int64(cost))
 			return
 		}
-		r.size, r.held = size, cost
+		r.size, r.held, r.expected = size, cost, expected
 		c.held += cost
 		c.ahead = append(c.ahead, r)
 		c.aheadSize += size
@@ -395,9 +432,10 @@
 	if r.dropped {
 		return
 	}
-	r.held += size
-	c.held += size
-	c.p.memory.Add(int64(size))
+	more := size - r.expected
+	r.held += more
+	c.held += more
+	c.p.memory.Add(int64(more))
 	if !closes {
 		return
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -64,14 +64,18 @@
 	// Bodies makes the server read bodies within a budget. The default is to let the
 	// HTTP library read them. The body that a handler gets stays valid after it.
 	Bodies *BodyOptions
-	// Responses bounds the bytes of the answers that wait to be read by their
-	// clients. The default is no bound.
+	// Responses bounds the bytes of the answers of requests that have run ahead, while they
+	// wait to be read by their clients. Handlers of other requests reserve memory
+	// themselves, see SetAnswer. The default is no bound.
 	Responses *memory.Budget
 	// MaxConns bounds the open connections. The default is no bound.
 	MaxConns int
 	// Idempotent says which requests may run before their answers are due, beside
 	// others of their connection. If nil, the requests of a connection run one by one.
 	Idempotent Idempotent
+	// AnswerSize bounds how many requests run ahead by what their answers will take. The
+	// default is to expect nothing.
+	AnswerSize AnswerSize
 	// Log receives the errors that end connections. The default is standard
 	// error.
 	Log fasthttp.Logger
@@ -85,7 +89,7 @@
 	if o.IdleTimeout <= 0 {
 		o.IdleTimeout = idleTimeout
 	}
-	s := &Server{options: o, guard: newGuard(o.Responses, o.MaxConns)}
+	s := &Server{options: o, guard: newGuard(o.MaxConns)}
 	if o.Idempotent != nil {
 		s.pipeline = newPipeline(o, handle, &s.draining)
 	}
@@ -122,10 +126,10 @@
 	}
 	switch c := rc.Conn().(type) {
 	case *pipelinedConn:
-		setBusy(c.Conn)
+		setBusy(c)
 		c.serve(rc)
 	case *watchedConn:
-		setBusy(c.Conn)
+		setBusy(c)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		c.watch(cancel)
@@ -158,8 +162,8 @@
 
 // setBusy records that a connection has sent a complete request.
 func setBusy(c net.Conn) {
-	if g, ok := c.(*guardedConn); ok {
-		g.setBusy(true)
+	if g := guardOf(c); g != nil {
+		g.setBusy()
 	}
 }
 
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -49,7 +49,15 @@
 	if err != nil {
 		return replyForError(ctx, vm, sent.Load(), err)
 	}
-	c.session.replyReceived(start)
+	return c.complete(ctx, vm, reply, start)
+}
+
+// complete completes and checks the reply to a call that was sent at the given time.
+func (c *conn) complete(ctx context.Context, vm string, reply *linkpb.CallReply, sent time.Time) *linkpb.CallReply {
+	c.session.replyReceived(sent)
+	if reply.Held != 0 {
+		reply = c.fetch(ctx, vm, reply)
+	}
 	if uint64(len(reply.Body)) != reply.BodyLength {
 		return failure(contract.MayHaveRun, contract.ReasonPartialAnswer, "answer cut on the link")
 	}
--- a/internal/link/codec.go
+++ b/internal/link/codec.go
@@ -44,6 +44,8 @@
 		return bodyField{callBodyField, &m.Body}, true
 	case *linkpb.CallReply:
 		return bodyField{replyBodyField, &m.Body}, true
+	case *linkpb.FetchReply:
+		return bodyField{fetchBodyField, &m.Body}, true
 	}
 	return bodyField{}, false
 }
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -72,6 +72,7 @@
 	heartbeatLoop *heartbeatLoop
 	grpc          *grpc.Server
 	codec         *codec
+	held          *heldBodies
 	ctx           context.Context
 	cancel        context.CancelFunc
 
@@ -92,6 +93,7 @@
 		heartbeatLoop: newHeartbeatLoop(),
 		sessions:      make(map[string]*Session),
 		codec:         newCodec(),
+		held:          newHeldBodies(),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.grpc = grpc.NewServer(
@@ -119,11 +121,19 @@
 	if session := s.sessionOf(ctx); session != nil {
 		session.callReceived()
 	}
+	return s.serveCall(ctx, req), nil
+}
+
+// serveCall serves a call whose message has been received.
+func (s *Server) serveCall(ctx context.Context, req *linkpb.CallRequest) *linkpb.CallReply {
 	var onSent func()
 	reply := s.handler.Call(context.WithValue(ctx, onSentKey{}, &onSent), req)
-	s.codec.expect(reply, onSent, timeLeft(ctx)+sentMargin)
 	reply.BodyLength = uint64(len(reply.Body))
-	return reply, nil
+	useful := timeLeft(ctx) + sentMargin
+	if !s.holdBody(reply, req.AnswerRoom, onSent, useful) {
+		s.codec.expect(reply, onSent, useful)
+	}
+	return reply
 }
 
 // Control implements linkpb.LinkServer.
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -1,16 +1,27 @@
 // Package memory bounds the bytes that many transfers hold together, and decides
 // which of them gives way where no memory is left. The decision, Claim.Reserve, uses
-// no clock and no goroutine: the time is an argument.
+// no goroutine, and takes the time as an argument.
 package memory
 
 import (
+	"context"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // orderDivisor gives the part of a budget that is kept for orders.
 const orderDivisor = 4
 
+// waitPoll is how often a claim that waits for memory looks for a transfer that has
+// stalled.
+const waitPoll = 100 * time.Millisecond
+
+// ErrEnded is returned for a claim that was released, or whose transfer had to give way to
+// another one.
+var ErrEnded = errors.New("memory: the claim has ended")
+
 // Verdict is the result of an attempt to reserve memory.
 type Verdict uint8
 
@@ -28,6 +39,8 @@
 type Budget struct {
 	size  int64
 	stall time.Duration
+	// onlyStalled says that a transfer that makes progress is never aborted.
+	onlyStalled bool
 
 	mu     sync.Mutex
 	used   int64
@@ -35,6 +48,7 @@
 	freed  chan struct{}
 	// aborted and refused count since the start.
 	aborted, refused int64
+	released         Rate
 }
 
 // New returns a budget of size bytes. A transfer without progress for stall may be
@@ -43,6 +57,14 @@
 	return &Budget{size: size, stall: stall, claims: make(map[*Claim]struct{}), freed: make(chan struct{})}
 }
 
+// NewOnlyStalled is New for transfers that are never aborted while they make progress, not
+// even in favour of an order.
+func NewOnlyStalled(size int64, stall time.Duration) *Budget {
+	b := New(size, stall)
+	b.onlyStalled = true
+	return b
+}
+
 // LargestLookup returns the most that one claim which is not an order's can hold.
 func (b *Budget) LargestLookup() int64 { return b.size - b.size/orderDivisor }
 
@@ -54,15 +76,28 @@
 	return b.used, b.aborted, b.refused
 }
 
+// RoomIn returns the expected time until n more bytes are free, by the rate of the recent
+// past; 0 if that is not known.
+func (b *Budget) RoomIn(now time.Time, n int64) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.released.TimeFor(now, b.used+n-b.size)
+}
+
 // Claim is the part of a budget that one transfer holds.
 type Claim struct {
-	budget   *Budget
-	order    bool
-	abort    func()
-	held     int64
-	progress time.Time
+	budget *Budget
+	order  bool
+	abort  func()
+	// taken returns how many bytes the receiver has taken; nil if that is not known.
+	taken     func() int64
+	lastTaken int64
+	held      int64
+	progress  time.Time
 	// fixed is set once the transfer must not be aborted any more.
 	fixed, aborted bool
+	// released is set once the claim can hold nothing any more.
+	released bool
 }
 
 // Claim returns a claim that holds nothing yet. abort ends the transfer; it is
@@ -80,7 +115,16 @@
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if c.aborted {
+	v, freed = c.reserveLocked(now, n)
+	if v == Refused {
+		b.refused++
+	}
+	return v, freed
+}
+
+func (c *Claim) reserveLocked(now time.Time, n int64) (v Verdict, freed <-chan struct{}) {
+	b := c.budget
+	if c.aborted || c.released {
 		return Refused, nil
 	}
 	limit := b.size
@@ -98,7 +142,6 @@
 	if n <= limit && (b.awaitsRelease() || b.abortFor(now, c)) {
 		return Wait, b.freed
 	}
-	b.refused++
 	return Refused, nil
 }
 
@@ -116,8 +159,8 @@
 func (b *Budget) abortFor(now time.Time, favoured *Claim) bool {
 	var victim *Claim
 	for c := range b.claims {
-		stalled := now.Sub(c.progress) >= b.stall
-		if c == favoured || c.fixed || !(stalled || favoured.order && !c.order) || c.order && !favoured.order {
+		c.updateProgress(now)
+		if c == favoured || !b.mayAbort(now, c, favoured) {
 			continue
 		}
 		if victim == nil || !c.order && victim.order || c.order == victim.order && c.progress.Before(victim.progress) {
@@ -133,6 +176,93 @@
 	return true
 }
 
+// mayAbort reports whether c may be aborted in favour of another claim.
+func (b *Budget) mayAbort(now time.Time, c, favoured *Claim) bool {
+	if c.fixed || c.order && !favoured.order {
+		return false
+	}
+	stalled := now.Sub(c.progress) >= b.stall
+	return stalled || favoured.order && !c.order && !b.onlyStalled
+}
+
+// updateProgress records that the receiver has taken bytes since the last look.
+func (c *Claim) updateProgress(now time.Time) {
+	if c.taken == nil || c.fixed {
+		return
+	}
+	if n := c.taken(); n > c.lastTaken {
+		c.lastTaken, c.progress = n, now
+	}
+}
+
+// Await reserves n bytes and waits for them until ctx ends. Meanwhile the claim holds
+// nothing, so that no two claims wait for each other. One for more than it can ever get
+// takes all that it can.
+func (c *Claim) Await(ctx context.Context, n int64) error {
+	b := c.budget
+	most := b.size
+	if !c.order {
+		most = b.LargestLookup()
+	}
+	n = min(n, most)
+	ticker := time.NewTicker(waitPoll)
+	defer ticker.Stop()
+	for {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		b.mu.Lock()
+		v, _ := c.reserveLocked(time.Now(), n)
+		if v != Granted {
+			c.lowerLocked(0)
+		}
+		freed, ended := b.freed, c.aborted || c.released
+		b.mu.Unlock()
+		switch {
+		case v == Granted:
+			return nil
+		case ended:
+			return ErrEnded
+		}
+		select {
+		case <-freed:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Held returns what the claim holds, in bytes.
+func (c *Claim) Held() int64 {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	return c.held
+}
+
+// Lower gives back what the claim holds beyond n bytes.
+func (c *Claim) Lower(n int64) {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.lowerLocked(n)
+}
+
+func (c *Claim) lowerLocked(n int64) {
+	if c.held > n {
+		c.budget.giveBack(c.held - n)
+		c.held = n
+	}
+}
+
+// Begin starts the transfer of a claim that was reserved before. From now on it may be
+// aborted, see Budget.Claim, unless taken grows. taken returns how many bytes the receiver
+// has taken; it is called with the budget locked and must not block.
+func (c *Claim) Begin(now time.Time, abort func(), taken func() int64) {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.abort, c.taken, c.progress, c.fixed = abort, taken, now, false
+}
+
 // Acquire reserves n bytes. While an aborted transfer is about to release memory it
 // waits, until timeout at most. It reports whether the bytes are reserved.
 func (c *Claim) Acquire(n int64, timeout time.Duration) bool {
@@ -178,17 +308,24 @@
 	return c.aborted
 }
 
-// Release gives back all that the claim holds. Further calls do nothing.
+// Release gives back all that the claim holds, for good. Further calls do nothing.
 func (c *Claim) Release() {
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	c.released = true
 	if _, ok := b.claims[c]; !ok {
 		return
 	}
 	delete(b.claims, c)
-	b.used -= c.held
+	b.giveBack(c.held)
 	c.held = 0
+}
+
+// giveBack frees n bytes and wakes the claims that wait. The caller holds b.mu.
+func (b *Budget) giveBack(n int64) {
+	b.used -= n
+	b.released.Add(time.Now(), n)
 	close(b.freed)
 	b.freed = make(chan struct{})
 }
--- /dev/null
+++ b/internal/memory/rate_test.go
@@ -0,0 +1,130 @@
+package memory
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+func TestRate(t *testing.T) {
+	var r Rate
+	if got := r.TimeFor(start, 100); got != 0 {
+		t.Errorf("nothing known: got %v, want 0", got)
+	}
+	r.Add(start, 100)
+	r.Add(start.Add(rateWindow), 300)
+	now := start.Add(2*rateWindow - 1)
+	if got := r.TimeFor(now, 800); got < 3*rateWindow || got > 4*rateWindow {
+		t.Errorf("400 bytes in two windows: got %v for 800", got)
+	}
+	if got := r.TimeFor(now, 0); got != 0 {
+		t.Errorf("no bytes: got %v, want 0", got)
+	}
+	if got := r.TimeFor(start.Add(time.Hour), 800); got != 0 {
+		t.Errorf("long ago: got %v, want 0", got)
+	}
+}
+
+func TestSizes(t *testing.T) {
+	var s Sizes
+	if got := s.Expected("a"); got != 0 {
+		t.Errorf("nothing known: got %d, want 0", got)
+	}
+	s.Observe("a", 1000)
+	s.Observe("b", 10)
+	if a, b := s.Expected("a"), s.Expected("b"); a != 1000 || b != 10 {
+		t.Errorf("got %d and %d, want the first sizes", a, b)
+	}
+	for range 100 {
+		s.Observe("a", 200)
+	}
+	if got := s.Expected("a"); got < 200 || got > 201 {
+		t.Errorf("got %d, want the size of the recent ones", got)
+	}
+}
+
+// Guards against claims that wait for each other, each with a part of the memory.
+func TestWaitingClaimHoldsNothing(t *testing.T) {
+	b := New(100, stall)
+	first, second := b.Claim(start, true, nil), b.Claim(start, true, nil)
+	for _, c := range []*Claim{first, second} {
+		if !c.Acquire(40, 0) {
+			t.Fatal("no memory")
+		}
+	}
+	waited := make(chan error, 1)
+	go func() { waited <- first.Await(t.Context(), 80) }()
+	for first.Held() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := second.Await(t.Context(), 80); err != nil {
+		t.Fatal(err)
+	}
+	second.Release()
+	if err := <-waited; err != nil || first.Held() != 80 {
+		t.Errorf("after the release: got %v, holds %d", err, first.Held())
+	}
+}
+
+func TestAwaitEnds(t *testing.T) {
+	b := New(100, stall)
+	if !b.Claim(start, true, nil).Acquire(90, 0) {
+		t.Fatal("no memory")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := b.Claim(start, true, nil).Await(ctx, 50); !errors.Is(err, context.Canceled) {
+		t.Errorf("cancelled: got %v", err)
+	}
+	released := b.Claim(start, true, nil)
+	released.Release()
+	if err := released.Await(t.Context(), 1); !errors.Is(err, ErrEnded) {
+		t.Errorf("released: got %v, want ErrEnded", err)
+	}
+	if used, _, _ := b.Stats(); used != 90 {
+		t.Errorf("%d bytes are used, want 90", used)
+	}
+}
+
+// Guards against a transfer that is aborted although its receiver takes bytes, which the
+// writer can't see while the kernel holds them.
+func TestTakenBytesAreProgress(t *testing.T) {
+	b := New(100, stall)
+	taken, aborted := int64(0), false
+	c := b.Claim(start, true, nil)
+	if v, _ := c.Reserve(start, 90); v != Granted {
+		t.Fatal(v)
+	}
+	c.Begin(start, func() { aborted = true }, func() int64 { return taken })
+	other := b.Claim(start, true, nil)
+	now := start
+	for range 3 {
+		now = now.Add(2 * stall)
+		taken++
+		if v, _ := other.Reserve(now, 50); v != Refused || aborted {
+			t.Fatalf("the receiver takes bytes: got %v, aborted %v", v, aborted)
+		}
+	}
+	now = now.Add(stall)
+	if v, _ := other.Reserve(now, 50); v != Wait || !aborted {
+		t.Errorf("the receiver has stalled: got %v, aborted %v", v, aborted)
+	}
+}
+
+// Guards against an order that cuts off an answer which its client reads.
+func TestMovingTransferIsKeptFromOrders(t *testing.T) {
+	b, aborted := NewOnlyStalled(100, stall), false
+	c := b.Claim(start, false, func() { aborted = true })
+	if v, _ := c.Reserve(start, 75); v != Granted {
+		t.Fatal(v)
+	}
+	order := b.Claim(start, true, nil)
+	if v, _ := order.Reserve(start, 50); v != Refused || aborted {
+		t.Errorf("beside a moving lookup: got %v, aborted %v", v, aborted)
+	}
+	if v, _ := order.Reserve(start.Add(stall), 50); v != Wait || !aborted {
+		t.Errorf("beside a stalled lookup: got %v, aborted %v", v, aborted)
+	}
+}
--- a/internal/sidecar/bodies.go
+++ b/internal/sidecar/bodies.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"syscall"
 	"time"
 
@@ -19,16 +18,16 @@
 
 const (
 	// bodyMemoryDivisor gives the part of the memory that the bodies of requests hold
-	// together, responseMemoryDivisor that of the answers that wait to be read by
-	// their clients. A large body is copied once for its link.
+	// together, and responseMemoryDivisor that of the answers that wait to be read by
+	// their clients.
 	bodyMemoryDivisor     = 8
-	responseMemoryDivisor = 16
+	responseMemoryDivisor = 8
 	// minBodyMemory lets one lookup of the largest size in.
 	minBodyMemory = 13 << 20
 	// bodyStall and responseStall are the times without progress after which a body
 	// that is received, or an answer that is read, gives way to another one.
 	bodyStall     = time.Second
-	responseStall = 250 * time.Millisecond
+	responseStall = 3 * time.Second
 	// freeCallBody is the size in bytes up to which the body of a call from another
 	// node needs no share of the memory, and callMemoryWait bounds the wait for one
 	// that an aborted transfer releases.
@@ -53,7 +52,7 @@
 func newBudgets(size int64) budgets {
 	return budgets{
 		bodies:    memory.New(max(size/bodyMemoryDivisor, minBodyMemory), bodyStall),
-		responses: memory.New(max(size/responseMemoryDivisor, minBodyMemory), responseStall),
+		responses: memory.NewOnlyStalled(max(size/responseMemoryDivisor, minBodyMemory), responseStall),
 	}
 }
 
@@ -61,6 +60,7 @@
 // clients' connections. Those that end in Seen are the totals reported before.
 type memoryGauges struct {
 	bodies, responses, connections            tally.Gauge
+	answersHeld                               tally.Gauge
 	aborted, refused, connsClosed             tally.Counter
 	abortedSeen, refusedSeen, connsClosedSeen int64
 }
@@ -70,6 +70,7 @@
 		bodies:      scope.Gauge("request_memory_bytes"),
 		responses:   scope.Gauge("response_memory_bytes"),
 		connections: scope.Gauge("client_connections"),
+		answersHeld: scope.Gauge("answers_held"),
 		aborted:     scope.Counter("transfers_aborted"),
 		refused:     scope.Counter("transfers_refused"),
 		connsClosed: scope.Counter("client_connections_closed"),
@@ -85,6 +86,7 @@
 	m.bodies.Update(float64(bodies))
 	m.responses.Update(float64(responses))
 	m.connections.Update(float64(open))
+	m.answersHeld.Update(float64(n.linkServer.HeldBodies()))
 	add := func(c tally.Counter, seen *int64, total int64) {
 		c.Inc(total - *seen)
 		*seen = total
@@ -120,6 +122,7 @@
 		Responses:  n.budgets.responses,
 		MaxConns:   maxClientConns(n.cfg.Memory),
 		Idempotent: n.mayRunAhead,
+		AnswerSize: n.expectedAnswer,
 	}
 }
 
@@ -136,12 +139,7 @@
 // isOrder reports whether a request matches a route for orders. Without a route it
 // is none, and will be rejected.
 func (n *Node) isOrder(rc *fasthttp.RequestCtx) bool {
-	table := n.table.Load()
-	if table == nil {
-		return false
-	}
-	path, _, _ := strings.Cut(string(rc.RequestURI()), "?")
-	route, ok := table.Match(string(rc.Host()), path)
+	route, ok := n.routeOf(&rc.Request)
 	return ok && !route.Idempotent
 }
 
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -15,6 +15,7 @@
 	"heathershed/internal/contract/retry"
 	"heathershed/internal/freshness"
 	"heathershed/internal/ingress"
+	"heathershed/internal/memory"
 	"heathershed/internal/outcome"
 	"heathershed/internal/poison"
 	"heathershed/internal/routes"
@@ -62,6 +63,10 @@
 	body      []byte
 	// key identifies the content; 0 until it is needed.
 	key poison.Key
+	// room is the memory for the answer; nil until the call is forwarded. roomPassed says
+	// that it was passed on with the answer.
+	room       *memory.Claim
+	roomPassed bool
 	// table is the configuration that the call is served by, and confirmed its newest
 	// confirmation when the call arrived.
 	table     *configuration
@@ -86,6 +91,7 @@
 	if reply == nil {
 		reply = n.forward(ctx, c)
 	}
+	defer c.releaseRoom()
 	n.writeReply(rc, c, reply)
 	took := time.Since(began)
 	n.metrics.calls.Record(reply, took)
@@ -96,13 +102,18 @@
 // mayRunAhead reports whether a pipelined request may run before the answers to those in
 // front of it are sent: it matches a route of idempotent requests.
 func (n *Node) mayRunAhead(req *fasthttp.Request) bool {
+	route, ok := n.routeOf(req)
+	return ok && route.Idempotent
+}
+
+// routeOf returns the route that a request matches in the active configuration.
+func (n *Node) routeOf(req *fasthttp.Request) (route *routes.Route, ok bool) {
 	table := n.table.Load()
 	if table == nil {
-		return false
+		return nil, false
 	}
 	path, _, _ := strings.Cut(string(req.Header.RequestURI()), "?")
-	route, ok := table.Match(string(req.Host()), path)
-	return ok && route.Idempotent
+	return table.Match(string(req.Host()), path)
 }
 
 // forward sends a call to an upstream of its service. A client's request below
@@ -123,13 +134,16 @@
 	}
 	ctx, cancel := n.requestContext(ctx, c.deadline)
 	defer cancel()
+	if reply := n.reserveRoom(now, c); reply != nil {
+		return reply
+	}
 	if reply := n.quotas.check(ctx, c); reply != nil {
 		return reply
 	}
 	n.pressure.Sent(now, c.service, c.route.Name)
-	reply := n.send(ctx, c)
+	reply := n.send(c.withRoom(ctx), c)
 	n.pressure.Settled(time.Now(), c.service, c.route.Name)
-	return reply
+	return n.settleRoom(ctx, c, reply)
 }
 
 // accept parses a request into a call. If the request is invalid or can't be
@@ -254,7 +268,7 @@
 		status = fasthttp.StatusBadGateway
 	}
 	rc.SetStatusCode(status)
-	rc.Response.SetBodyRaw(reply.Body) // the reply is this request's alone
+	c.setBody(rc, reply.Body)
 }
 
 // impliesNotRun reports whether clients take a status to mean that the request
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -30,6 +30,7 @@
 	"heathershed/internal/freshness"
 	"heathershed/internal/ingress"
 	"heathershed/internal/link"
+	"heathershed/internal/memory"
 	"heathershed/internal/poison"
 	"heathershed/internal/routes"
 	"heathershed/internal/settings"
@@ -54,7 +55,7 @@
 	// above the idle time that operators allow clients.
 	clientIdleTimeout = 60 * time.Second
 	// answerMemoryDivisor gives the part of the memory that answers of the upstream
-	// may hold until they have been passed on. Each is copied once for its link.
+	// may hold until they have been passed on.
 	answerMemoryDivisor = 8
 	// platformBody bounds the body of a heartbeat or of a readiness check, and
 	// platformRequest all that is read for one, in bytes.
@@ -92,20 +93,23 @@
 	heldUpLogged atomic.Int64
 	// comparedAt is when the local upstream was last compared with its peers, in
 	// nanoseconds since the start.
-	comparedAt   atomic.Int64
-	split        routes.Splitter
-	fleet        *fleet.Fleet
-	sched        *scheduler.Scheduler
-	upstream     *upstream.Client
-	objects      *platform.ObjectClient
-	target       *target
-	stored       *storedInstance
-	dedup        *dedup
-	correlation  *correlation.Tracker
-	callers      *callers.Tracker
-	pressure     *pressure.Table
-	shares       shares
-	budgets      budgets
+	comparedAt  atomic.Int64
+	split       routes.Splitter
+	fleet       *fleet.Fleet
+	sched       *scheduler.Scheduler
+	upstream    *upstream.Client
+	objects     *platform.ObjectClient
+	target      *target
+	stored      *storedInstance
+	dedup       *dedup
+	correlation *correlation.Tracker
+	callers     *callers.Tracker
+	pressure    *pressure.Table
+	shares      shares
+	budgets     budgets
+	// answerSizes are the sizes of the answers of each route, of the local upstream and of
+	// those of other nodes.
+	answerSizes  memory.Sizes
 	budget       *budget
 	losses       losses.Tracker // of the local upstream
 	lostRuns     lostRuns
@@ -221,7 +225,7 @@
 
 // answerMemory returns the bytes that the bodies of answers may hold together
 // while they are read, for a process that has the given memory.
-func answerMemory(memory int64) int64 { return max(memory/answerMemoryDivisor, maxAnswer) }
+func answerMemory(size int64) int64 { return max(size/answerMemoryDivisor, maxAnswer) }
 
 // Run opens the listeners and runs all tasks until ctx ends or a task fails.
 // It returns nil after a graceful shutdown.
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -206,6 +206,7 @@
 		Idempotent:  c.route.Idempotent,
 		NoWait:      choice.NoWait,
 		Workspace:   c.workspaceName(),
+		AnswerRoom:  c.answerRoom(),
 	}
 	if choice.Report.Restricts() {
 		req.Notice = noticeMessage(choice.Report)
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -116,6 +116,9 @@
 	if !state.Ready || state.Service != req.Service {
 		return outcome.NotRunReply(contract.ReasonLeaving, "the upstream has left")
 	}
+	if rejection := n.reserveAnswer(ctx, req); rejection != nil {
+		return rejection
+	}
 	if !req.Idempotent {
 		if !n.dedup.add(req.AttemptId) {
 			return outcome.Reply(contract.MayHaveRun, contract.ReasonOrderRunning, "an order of this id was handed over already")
@@ -159,6 +162,9 @@
 		n.dedup.remove(req.AttemptId)
 	}
 	reply := outcome.UpstreamReply(out, answer, platform.ForwardsResponseHeader)
+	if outcome.Ran(reply) {
+		n.answerSizes.Observe(req.Kind, int64(len(reply.Body)))
+	}
 	n.observeCrash(ctx, req, state, alone, out, reply)
 	return reply
 }
--- a/internal/upstream/memory.go
+++ b/internal/upstream/memory.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"io"
+	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/semaphore"
+
+	budget "heathershed/internal/memory"
 )
 
 const (
@@ -26,12 +30,57 @@
 type memory struct {
 	size int64
 	left *semaphore.Weighted
+
+	mu       sync.Mutex
+	used     int64
+	released budget.Rate
 }
 
 func newMemory(size int64) *memory {
 	return &memory{size: size, left: semaphore.NewWeighted(size)}
 }
 
+// acquire waits for n bytes until ctx ends.
+func (m *memory) acquire(ctx context.Context, n int64) error {
+	if err := m.left.Acquire(ctx, n); err != nil {
+		return err
+	}
+	m.count(n)
+	return nil
+}
+
+// tryAcquire takes n bytes if they are free and nobody waits for them.
+func (m *memory) tryAcquire(n int64) bool {
+	if !m.left.TryAcquire(n) {
+		return false
+	}
+	m.count(n)
+	return true
+}
+
+// release gives back n bytes.
+func (m *memory) release(n int64) {
+	m.count(-n)
+	m.left.Release(n)
+}
+
+// count records that n more bytes are used.
+func (m *memory) count(n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.used += n
+	if n < 0 {
+		m.released.Add(time.Now(), -n)
+	}
+}
+
+// roomIn returns the expected time until n bytes are free; 0 if that is not known.
+func (m *memory) roomIn(n int64) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.released.TimeFor(time.Now(), m.used+n-m.size)
+}
+
 // share returns the share of the memory that a body of n bytes needs.
 func share(n int) int64 { return max(int64(n)-freeBytes, 0) }
 
@@ -45,30 +94,36 @@
 		return nil, fasthttp.ErrBodyTooLarge
 	}
 	kept := heldIn(ctx)
-	kept.keep(nil, 0) // of an answer that was read before
+	held := kept.take(m) // reserved, or of an answer that was read before
 	if length < 0 {
-		return m.readUnknown(r, most, kept)
+		return m.readUnknown(r, most, kept, held)
 	}
-	held := min(share(length), m.size)
-	if err := m.left.Acquire(ctx, held); err != nil {
-		return nil, err
+	need := min(share(length), m.size)
+	if held >= need {
+		m.release(held - need)
+	} else {
+		m.release(held) // no two answers that hold a part wait for each other
+		if err := m.acquire(ctx, need); err != nil {
+			return nil, err
+		}
 	}
+	held = need
 	body := make([]byte, length)
 	_, err := io.ReadFull(r, body)
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
-		m.left.Release(held)
+		m.release(held)
 		return body, err
 	}
 	kept.keep(m, held)
 	return body, nil
 }
 
-func (m *memory) readUnknown(r io.Reader, most int, kept *Held) ([]byte, error) {
-	held := int64(0)
-	defer func() { m.left.Release(held) }()
+// readUnknown reads a body of unknown length. held is the share that it has already.
+func (m *memory) readUnknown(r io.Reader, most int, kept *Held, held int64) ([]byte, error) {
+	defer func() { m.release(held) }()
 	body := make([]byte, 0, min(firstBytes, most+1))
 	for {
 		n, err := r.Read(body[len(body):cap(body)])
@@ -86,11 +141,12 @@
 			continue
 		}
 		size := min(2*cap(body), most+1)
-		more := share(size) - held
-		if !m.left.TryAcquire(more) {
-			return nil, errNoMemory
+		if more := share(size) - held; more > 0 {
+			if !m.tryAcquire(more) {
+				return nil, errNoMemory
+			}
+			held += more
 		}
-		held += more
 		body = append(make([]byte, 0, size), body...)
 	}
 }
