Bodies up to maxBodyBytes are served: large ones are passed on as they arrive

What callers saw: 413 or a reset for a body of 9 to 64 MiB, though the configuration allows 64 MiB on every deployment.

Cause: a body was held whole at the node of the client and crossed a link in one message of 10 MiB at most.

A body above a thirty-second of the memory (9 MiB at most) is now an upload: a call whose body follows in parts, held back by the window of the stream. Nothing of it is read before a node beside an upstream has admitted the request, so that it can be offered to others until then; from then on it has one try, and is not hedged. An upload that ends early is cancelled, never ended. An early answer of the upstream is passed on. Uploads hold a quarter of the upstream's slots at most. An older node does not know them: the request has not run and is offered to others.

TestBodyLimitIsThatOfTheConfiguration stated the old limit of 9 MiB; it asks for 9 and 64 MiB and for 413 above now.

--- a/internal/endpoint/bounded.go
+++ b/internal/endpoint/bounded.go
@@ -13,11 +13,16 @@
 // Bounded wraps a listener of a server that reads one request, writes its answer
 // and then reads the next. It bounds the bytes that are read for one request, all
 // of its framing included.
-func Bounded(l net.Listener, bytes int64) net.Listener { return boundedListener{l, bytes} }
+func Bounded(l net.Listener, bytes int64) net.Listener {
+	return BoundedBy(l, func() int64 { return bytes })
+}
+
+// BoundedBy is Bounded with a bound that may change.
+func BoundedBy(l net.Listener, bytes func() int64) net.Listener { return boundedListener{l, bytes} }
 
 type boundedListener struct {
 	net.Listener
-	bytes int64
+	bytes func() int64
 }
 
 // Accept implements net.Listener.
@@ -31,7 +36,7 @@
 
 type boundedConn struct {
 	net.Conn
-	bytes int64
+	bytes func() int64
 	// read is the number of bytes read since the last write.
 	read atomic.Int64
 }
@@ -41,7 +46,7 @@
 
 // Read implements net.Conn.
 func (c *boundedConn) Read(p []byte) (int, error) {
-	left := c.bytes - c.read.Load()
+	left := c.bytes() - c.read.Load()
 	if left <= 0 {
 		return 0, errTooManyBytes
 	}
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -45,6 +45,9 @@
 	Budget *memory.Budget
 	// Limit returns the bound on one body in bytes.
 	Limit func() int
+	// Whole is the size in bytes up to which a body is read completely before its request
+	// is handled. A larger one is an Upload. The default is MaxBody.
+	Whole int
 	// IsOrder reports whether a request is an order.
 	IsOrder func(rc *fasthttp.RequestCtx) bool
 	// Refuse writes the answer to a request whose body was not read, for one of the
@@ -71,31 +74,42 @@
 	return n
 }
 
-// read reads the body of a request. release gives back its memory.
-func (o *BodyOptions) read(rc *fasthttp.RequestCtx) (body []byte, release func(), err error) {
+// read reads the body of a request, or the beginning of an upload. release gives back its
+// memory.
+func (o *BodyOptions) read(rc *fasthttp.RequestCtx) (body []byte, upload *Upload, release func(), err error) {
+	none := func() {}
 	if len(rc.Request.Header.Peek(headerRefused)) > 0 {
-		return nil, func() {}, ErrBodyTooLarge
+		return nil, nil, none, ErrBodyTooLarge
 	}
 	stream, declared := rc.Request.BodyStream(), rc.Request.Header.ContentLength()
 	if stream == nil || declared == 0 {
-		return nil, func() {}, nil
+		return nil, nil, none, nil
 	}
-	r := bodyReader{options: o, rc: rc, began: time.Now(), limit: o.Limit(), declared: declared}
-	body, err = r.readAll(stream)
+	r := &bodyReader{options: o, rc: rc, began: time.Now(), limit: o.Limit(), whole: o.whole(), declared: declared}
+	body, complete, err := r.readAll(stream)
 	switch {
+	case err == nil && !complete:
+		return nil, newUpload(r, body, stream), r.claim.Release, nil
 	case r.claim == nil:
-		return body, func() {}, r.cause(err)
+		return body, nil, none, r.cause(err)
 	case err != nil:
 		err = r.cause(err)
 		r.claim.Release()
-		return nil, func() {}, err
+		return nil, nil, none, err
 	}
 	r.claim.Fix()
 	if r.claim.Aborted() {
 		r.claim.Release()
-		return nil, func() {}, ErrNoMemory
+		return nil, nil, none, ErrNoMemory
 	}
-	return body, r.claim.Release, nil
+	return body, nil, r.claim.Release, nil
+}
+
+func (o *BodyOptions) whole() int {
+	if o.Whole <= 0 {
+		return MaxBody
+	}
+	return o.Whole
 }
 
 // bodyReader reads one body.
@@ -104,46 +118,65 @@
 	rc              *fasthttp.RequestCtx
 	began           time.Time
 	limit, declared int
+	// whole is the size up to which the body is read completely.
+	whole int
 	// claim is nil until the body needs a share of the memory.
 	claim *memory.Claim
 	// recorded is the number of bytes at the last record of progress.
 	recorded int
 }
 
-// readAll reads to the end of the body. Its buffer grows as bytes arrive: a length
-// that is only declared takes no memory.
-func (r *bodyReader) readAll(stream io.Reader) ([]byte, error) {
-	body := make([]byte, 0, r.capacity(0))
+// readAll reads to the end of the body, or the beginning of one that is too large to be
+// held. Its buffer grows as bytes arrive: a length that is only declared takes no memory.
+func (r *bodyReader) readAll(stream io.Reader) (body []byte, complete bool, err error) {
+	if min(r.declared, r.limit) > r.whole {
+		return nil, false, r.reserve(uploadMemory)
+	}
+	body = make([]byte, 0, r.capacity(0))
 	for {
+		if len(body) > r.whole {
+			return body, false, r.reserve(max(len(body), uploadMemory))
+		}
 		if len(body) == cap(body) {
 			size := r.capacity(cap(body))
 			if err := r.reserve(size); err != nil {
-				return nil, err
+				return nil, false, err
 			}
 			body = append(make([]byte, 0, size), body...)
 		}
-		n, err := stream.Read(body[len(body):cap(body)])
+		n, err := r.readPart(stream, body[len(body):cap(body)], len(body))
 		body = body[:len(body)+n]
 		switch {
-		case len(body) > r.limit:
-			return nil, ErrBodyTooLarge
-		case errors.Is(err, io.EOF) && (r.declared < 0 || len(body) == r.declared):
-			return body, nil
 		case errors.Is(err, io.EOF):
-			return nil, io.ErrUnexpectedEOF
+			return body, true, nil
 		case err != nil:
-			return nil, err
-		}
-		if err := r.progressed(len(body)); err != nil {
-			return nil, err
+			return nil, false, err
 		}
 	}
 }
 
+// readPart reads a part of the body behind the first read bytes. It returns io.EOF only at
+// the end of a complete body.
+func (r *bodyReader) readPart(stream io.Reader, p []byte, read int) (int, error) {
+	n, err := stream.Read(p)
+	read += n
+	switch {
+	case read > r.limit:
+		return n, ErrBodyTooLarge
+	case errors.Is(err, io.EOF) && (r.declared < 0 || read == r.declared):
+		return n, io.EOF
+	case errors.Is(err, io.EOF):
+		return n, io.ErrUnexpectedEOF
+	case err != nil:
+		return n, err
+	}
+	return n, r.progressed(read)
+}
+
 // capacity returns the size of the buffer that follows one of the given size. One
 // byte beyond the body shows its end or an excess.
 func (r *bodyReader) capacity(size int) int {
-	most := r.limit + 1
+	most := min(r.limit, r.whole) + 1
 	if r.declared >= 0 {
 		most = r.declared + 1
 	}
@@ -193,8 +226,8 @@
 func (r *bodyReader) cause(err error) error {
 	var timeout interface{ Timeout() bool }
 	switch {
-	case err == nil:
-		return nil
+	case err == nil, errors.Is(err, io.EOF):
+		return err
 	case r.claim != nil && r.claim.Aborted():
 		return ErrNoMemory
 	case errors.As(err, &timeout) && timeout.Timeout():
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -22,15 +22,16 @@
 const (
 	// maxBody bounds the body of a request in bytes where the HTTP library reads it.
 	maxBody = 8 << 20
-	// MaxBody bounds the body of a request in bytes where the server reads it; the
-	// limit that its options give may be lower.
+	// MaxBody bounds the body of a request in bytes that is read completely before the
+	// request is handled; the options may give a lower bound.
 	MaxBody = 9 << 20
 	// maxStreamed lets the HTTP library pass on all bodies where the server reads
 	// them.
 	maxStreamed = math.MaxInt32
-	// maxRequest bounds what is read for one request in bytes: the body, an eighth
-	// of that for chunk sizes and extensions, and the header.
-	maxRequest = MaxBody + MaxBody/8 + 64<<10
+	// framingDivisor gives the bytes that chunk sizes and extensions may take, as a part of
+	// the bound on the body, and maxFraming what they may take besides, with the header.
+	framingDivisor = 8
+	maxFraming     = 64 << 10
 	// readTimeout bounds the time that a caller takes to send a request.
 	readTimeout = 10 * time.Second
 	// writeTimeout bounds the time that a caller takes to read an answer.
@@ -119,11 +120,16 @@
 
 // serve serves a request whose head has been read.
 func (s *Server) serve(rc *fasthttp.RequestCtx, handle Handler) {
-	release, ok := s.readBody(rc)
+	upload, release, ok := s.readBody(rc)
 	defer release()
 	if !ok {
 		return
 	}
+	if upload != nil {
+		setBusy(rc.Conn())
+		serveUpload(rc, upload, handle)
+		return
+	}
 	switch c := rc.Conn().(type) {
 	case *pipelinedConn:
 		setBusy(c)
@@ -141,20 +147,21 @@
 	}
 }
 
-// readBody reads the body of a request where the server does so. If that fails, it
-// answers the request and ok is false. release gives back the memory of the body.
-func (s *Server) readBody(rc *fasthttp.RequestCtx) (release func(), ok bool) {
+// readBody reads the body of a request where the server does so, or returns the one that is
+// to be passed on as it arrives. If that fails, it answers the request and ok is false.
+// release gives back the memory of the body.
+func (s *Server) readBody(rc *fasthttp.RequestCtx) (upload *Upload, release func(), ok bool) {
 	if s.options.Bodies == nil {
-		return func() {}, true
+		return nil, func() {}, true
 	}
-	body, give, err := s.options.Bodies.read(rc)
+	body, upload, give, err := s.options.Bodies.read(rc)
 	if err != nil {
-		rc.SetConnectionClose() // the rest of the body is not read
+		rc.SetConnectionClose()
 		s.options.Bodies.Refuse(rc, err)
-		return give, false
+		return nil, give, false
 	}
 	rc.Request.SetBodyRaw(body)
-	return func() {
+	return upload, func() {
 		rc.Request.ResetBody() // the answer may wait for its client much longer
 		give()
 	}, true
@@ -167,9 +174,19 @@
 	}
 }
 
+// requestBytes returns the bound on what is read for one request in bytes: the body, an
+// eighth of that for chunk sizes and extensions, and the header.
+func (s *Server) requestBytes() int64 {
+	body := MaxBody
+	if s.options.Bodies != nil {
+		body = max(body, s.options.Bodies.Limit())
+	}
+	return int64(body) + int64(body)/framingDivisor + maxFraming
+}
+
 // Serve accepts connections on ln until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	bounded := guardedListener{endpoint.Bounded(ln, maxRequest), s.guard}
+	bounded := guardedListener{endpoint.BoundedBy(ln, s.requestBytes), s.guard}
 	if s.pipeline != nil {
 		return s.http.Serve(pipelinedListener{bounded, s.pipeline})
 	}
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -43,6 +43,9 @@
 	if left := timeLeft(ctx); left > 0 {
 		req.TimeoutUs = left.Microseconds()
 	}
+	if body := UploadOf(ctx); body != nil {
+		return c.upload(ctx, vm, req, body)
+	}
 	sent := new(atomic.Bool)
 	start := time.Now()
 	reply, err := c.client.Call(context.WithValue(ctx, sentKey{}, sent), req, grpc.WaitForReady(false))
--- a/internal/link/codec.go
+++ b/internal/link/codec.go
@@ -15,9 +15,10 @@
 
 // Numbers of the fields in api/link/link.proto that carry bodies.
 const (
-	callBodyField  protowire.Number = 20
-	replyBodyField protowire.Number = 5
-	fetchBodyField protowire.Number = 1
+	callBodyField   protowire.Number = 20
+	replyBodyField  protowire.Number = 5
+	fetchBodyField  protowire.Number = 1
+	uploadBodyField protowire.Number = 2
 )
 
 const (
@@ -46,6 +47,8 @@
 		return bodyField{replyBodyField, &m.Body}, true
 	case *linkpb.FetchReply:
 		return bodyField{fetchBodyField, &m.Body}, true
+	case *linkpb.UploadPart:
+		return bodyField{uploadBodyField, &m.Body}, true
 	}
 	return bodyField{}, false
 }
--- a/internal/link/codec_test.go
+++ b/internal/link/codec_test.go
@@ -23,6 +23,7 @@
 			&linkpb.CallRequest{Kind: "k", Body: body, Workspace: "w"},
 			&linkpb.CallReply{Verdict: 1, Body: body, BodyLength: uint64(size), Vm: "vm"},
 			&linkpb.FetchReply{Body: body},
+			&linkpb.UploadPart{Body: body},
 			&linkpb.ControlFrame{Documents: []*linkpb.Document{{Value: body}}},
 		} {
 			c := newCodec()
--- a/internal/sidecar/bodies.go
+++ b/internal/sidecar/bodies.go
@@ -22,6 +22,8 @@
 	// their clients.
 	bodyMemoryDivisor     = 8
 	responseMemoryDivisor = 8
+	// wholeBodyDivisor gives the part of the memory that one body may hold.
+	wholeBodyDivisor = 32
 	// minBodyMemory lets one lookup of the largest size in.
 	minBodyMemory = 13 << 20
 	// bodyStall and responseStall are the times without progress after which a body
@@ -60,7 +62,7 @@
 // clients' connections. Those that end in Seen are the totals reported before.
 type memoryGauges struct {
 	bodies, responses, connections            tally.Gauge
-	answersHeld                               tally.Gauge
+	answersHeld, uploads                      tally.Gauge
 	aborted, refused, connsClosed             tally.Counter
 	abortedSeen, refusedSeen, connsClosedSeen int64
 }
@@ -71,6 +73,7 @@
 		responses:   scope.Gauge("response_memory_bytes"),
 		connections: scope.Gauge("client_connections"),
 		answersHeld: scope.Gauge("answers_held"),
+		uploads:     scope.Gauge("uploads_running"),
 		aborted:     scope.Counter("transfers_aborted"),
 		refused:     scope.Counter("transfers_refused"),
 		connsClosed: scope.Counter("client_connections_closed"),
@@ -87,6 +90,7 @@
 	m.responses.Update(float64(responses))
 	m.connections.Update(float64(open))
 	m.answersHeld.Update(float64(n.linkServer.HeldBodies()))
+	m.uploads.Update(float64(n.uploads.Load()))
 	add := func(c tally.Counter, seen *int64, total int64) {
 		c.Inc(total - *seen)
 		*seen = total
@@ -116,6 +120,7 @@
 		Bodies: &ingress.BodyOptions{
 			Budget:  n.budgets.bodies,
 			Limit:   n.maxBody,
+			Whole:   wholeBody(n.cfg.Memory),
 			IsOrder: n.isOrder,
 			Refuse:  n.refuseBody,
 		},
@@ -127,15 +132,19 @@
 }
 
 // maxBody returns the bound on the body of a request in bytes: that of the active
-// configuration, as far as the memory and a link's message allow.
+// configuration.
 func (n *Node) maxBody() int {
 	limit := defaultMaxBody
 	if table := n.table.Load(); table != nil && table.Limits.BodyBytes > 0 {
 		limit = table.Limits.BodyBytes
 	}
-	return min(limit, ingress.MaxBody, int(n.budgets.bodies.LargestLookup())-1)
+	return limit
 }
 
+// wholeBody returns the size in bytes up to which a body is held completely, so that its
+// request can be sent again; a larger one is passed on as it arrives.
+func wholeBody(size int64) int { return int(min(ingress.MaxBody, size/wholeBodyDivisor)) }
+
 // isOrder reports whether a request matches a route for orders. Without a route it
 // is none, and will be rejected.
 func (n *Node) isOrder(rc *fasthttp.RequestCtx) bool {
@@ -180,11 +189,15 @@
 // called, as the call may wait for a slot. Without memory the returned reply rejects
 // it; its sender may offer it to another node.
 func (n *Node) holdBody(req *linkpb.CallRequest) (release func(), rejection *linkpb.CallReply) {
-	if len(req.Body) <= freeCallBody {
+	size := int64(len(req.Body))
+	if isUpload(req) {
+		size = uploadMemory
+	}
+	if size <= freeCallBody {
 		return func() {}, nil
 	}
 	claim := n.budgets.bodies.Claim(time.Now(), !req.Idempotent, nil)
-	if !claim.Acquire(int64(len(req.Body)), callMemoryWait) {
+	if !claim.Acquire(size, callMemoryWait) {
 		n.metrics.countRejected(contract.ReasonOverload)
 		return nil, outcome.NotRunReply(contract.ReasonOverload, "no memory is left for the body")
 	}
--- a/internal/sidecar/bodies_test.go
+++ b/internal/sidecar/bodies_test.go
@@ -16,8 +16,8 @@
 // upstream and over a link, and against a refusal with another status than 413.
 func TestBodyLimitIsThatOfTheConfiguration(t *testing.T) {
 	tc, near, far := startPair(t)
-	const allowed = 9 << 20
-	tc.writeConfig(strings.Replace(platformtest.Config(2, "near", "far"), `"maxBodyBytes":1000`, fmt.Sprintf(`"maxBodyBytes":%d`, 64<<20), 1))
+	const allowed, held = 64 << 20, 9 << 20 // a body of the second size was always served
+	tc.writeConfig(strings.Replace(platformtest.Config(2, "near", "far"), `"maxBodyBytes":1000`, fmt.Sprintf(`"maxBodyBytes":%d`, allowed), 1))
 	for _, m := range []*vm{near, far} {
 		m.up.set(func(rw http.ResponseWriter, r *http.Request) {
 			n, _ := io.Copy(io.Discard, r.Body)
@@ -29,9 +29,14 @@
 		return table != nil && table.Version == 2
 	})
 	for _, path := range []string{"/near-order/", "/far-order/", "/far/"} {
-		got := near.requestWithin(waitTimeout, "POST", path, make([]byte, allowed))
-		if got.status != http.StatusOK || got.body != fmt.Sprint(allowed) {
-			t.Errorf("%s: got status %d, %.200q, %v", path, got.status, got.body, got.err)
+		for _, size := range []int{held, allowed} {
+			got := near.requestWithin(waitTimeout, "POST", path, make([]byte, size))
+			if got.status != http.StatusOK || got.body != fmt.Sprint(size) {
+				t.Errorf("%s, %d bytes: got status %d, %.200q, %v", path, size, got.status, got.body, got.err)
+			}
+		}
+		if got := near.requestWithin(waitTimeout, "POST", path, make([]byte, allowed+1)); got.status != http.StatusRequestEntityTooLarge {
+			t.Errorf("%s, over the limit: got status %d, want 413", path, got.status)
 		}
 	}
 	if used, _, _ := near.node.budgets.bodies.Stats(); used != 0 {
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -61,6 +61,8 @@
 	host      string
 	headers   []*linkpb.Header
 	body      []byte
+	// upload is the body if it is passed on as it arrives; body is empty then.
+	upload *ingress.Upload
 	// key identifies the content; 0 until it is needed.
 	key poison.Key
 	// room is the memory for the answer; nil until the call is forwarded. roomPassed says
@@ -141,8 +143,9 @@
 		return reply
 	}
 	n.pressure.Sent(now, c.service, c.route.Name)
-	reply := n.send(c.withRoom(ctx), c)
+	reply := n.send(c.withUpload(c.withRoom(ctx)), c)
 	n.pressure.Settled(time.Now(), c.service, c.route.Name)
+	reply = c.checkUpload(reply)
 	return n.settleRoom(ctx, c, reply)
 }
 
@@ -174,6 +177,7 @@
 	}
 	c.method = string(rc.Method())
 	c.headers = ingress.CopyHeadersIf(&rc.Request.Header, c.forwardsHeader)
+	c.upload = ingress.UploadOf(rc)
 	c.body = rc.Request.Body() // read by the ingress for this request alone
 	return c, nil
 }
--- a/internal/sidecar/crash.go
+++ b/internal/sidecar/crash.go
@@ -39,9 +39,9 @@
 	maxReportsPerFrame = 256
 )
 
-// standing returns how a call may be sent now.
+// standing returns how a call may be sent now. The content of an upload is not known.
 func (n *Node) standing(c *call) poison.Standing {
-	if n.poison.Empty() {
+	if n.poison.Empty() || c.upload != nil {
 		return poison.Standing{}
 	}
 	return n.poison.Standing(time.Now(), n.keyOfCall(c))
@@ -75,7 +75,7 @@
 // may run here. alone says that it holds the place of the one request on probation
 // that runs here, which must be given back by n.onProbation.Store(false).
 func (n *Node) admitCrashing(req *linkpb.CallRequest) (alone bool, reply *linkpb.CallReply) {
-	if n.poison.Empty() {
+	if n.poison.Empty() || isUpload(req) {
 		return false, nil
 	}
 	key := keyOf(req)
@@ -99,6 +99,8 @@
 // that it does not. Its reply carries what is known then.
 func (n *Node) observeCrash(ctx context.Context, req *linkpb.CallRequest, state instance.State, alone bool, out upstream.Outcome, reply *linkpb.CallReply) {
 	switch {
+	case isUpload(req): // its content is not known
+		return
 	case out.Verdict == contract.Ran:
 		if reply.Status < http.StatusInternalServerError && n.poison.Answered(time.Now(), keyOf(req)) {
 			n.log.Info("request cleared by an answer", "id", req.AttemptId, "content", keyOf(req).String(), "instance", state.ID)
--- a/internal/sidecar/memory_test.go
+++ b/internal/sidecar/memory_test.go
@@ -32,6 +32,9 @@
 		if total > size {
 			t.Errorf("%d MiB: budgets take %d MiB: %v", size>>20, total>>20, rows)
 		}
+		if largest := int64(wholeBody(size)); largest >= b.bodies.LargestLookup() {
+			t.Errorf("%d MiB: a body of %d bytes is held, lookups may hold %d", size>>20, largest, b.bodies.LargestLookup())
+		}
 		if b.responses.LargestLookup() < maxAnswer {
 			t.Errorf("%d MiB: the largest answer finds no memory", size>>20)
 		}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -113,6 +113,7 @@
 	budget       *budget
 	losses       losses.Tracker // of the local upstream
 	lostRuns     lostRuns
+	uploads      atomic.Int64 // that run at the local upstream
 	reportedLoad reportedLoad
 	// poison holds the requests that crash upstreams. onProbation is set while
 	// one of them runs at the local upstream on its own.
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -77,10 +77,10 @@
 
 // attempt offers the call to one node. If the link to that node is suspected
 // to have failed, a lookup is hedged: attempts at other nodes run beside this
-// one, and the reply covers all of them. Orders and attempts at the local
+// one, and the reply covers all of them. Orders, uploads and attempts at the local
 // upstream are not hedged; an order waits for its attempt to end.
 func (n *Node) attempt(ctx context.Context, c *call, choice fleet.Choice, s *sendState) (reply *linkpb.CallReply, suspected bool) {
-	if choice.VM == n.cfg.VM || !c.route.Idempotent || n.standing(c).State != poison.Free {
+	if choice.VM == n.cfg.VM || !c.route.Idempotent || c.upload != nil || n.standing(c).State != poison.Free {
 		return n.offer(ctx, c, choice, nil)
 	}
 	first := func(ctx context.Context, suspect func()) (*linkpb.CallReply, bool) {
@@ -106,6 +106,9 @@
 	if ctx.Err() != nil || (failed.MayHaveRun && !c.route.Idempotent) || n.standing(c).State != poison.Free {
 		return false
 	}
+	if c.upload != nil && c.upload.Begun() {
+		return false // a part of its body is gone
+	}
 	if failed.ReachedUpstream == 0 {
 		return true
 	}
@@ -207,6 +210,8 @@
 		NoWait:      choice.NoWait,
 		Workspace:   c.workspaceName(),
 		AnswerRoom:  c.answerRoom(),
+
+		UploadLength: c.uploadLength(),
 	}
 	if choice.Report.Restricts() {
 		req.Notice = noticeMessage(choice.Report)
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -66,6 +66,11 @@
 	if alone {
 		defer n.onProbation.Store(false)
 	}
+	release, rejection := n.admitUpload(req)
+	if rejection != nil {
+		return rejection
+	}
+	defer release()
 	r := schedulerRequest(req, deadline)
 	r.MakesCalls = n.pressure.HasCalls(req.Kind)
 	permit, refusal := n.sched.Acquire(ctx, now, r)
@@ -119,6 +124,12 @@
 	if rejection := n.reserveAnswer(ctx, req); rejection != nil {
 		return rejection
 	}
+	body := link.UploadOf(ctx)
+	if body != nil {
+		if err := body.Begin(); err != nil {
+			return outcome.NotRunReply(contract.ReasonLinkLost, "the body can't be had")
+		}
+	}
 	if !req.Idempotent {
 		if !n.dedup.add(req.AttemptId) {
 			return outcome.Reply(contract.MayHaveRun, contract.ReasonOrderRunning, "an order of this id was handed over already")
@@ -129,10 +140,15 @@
 	ctx, cancel := n.requestContext(ctx, deadline)
 	defer cancel()
 	hreq, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(hreq)
 	defer fasthttp.ReleaseResponse(answer)
+	if body == nil {
+		defer fasthttp.ReleaseRequest(hreq)
+	}
 	left := time.Until(deadline).Truncate(time.Millisecond)
 	n.buildRequest(hreq, req, state, left)
+	if body != nil {
+		hreq.SetBodyStream(upstream.Stream(body), int(req.UploadLength))
+	}
 	number := n.correlation.Begin(correlation.Parent{
 		ID: req.AttemptId, Kind: req.Kind, Deadline: time.Now().Add(left),
 		Level: contract.Level(req.Level), Admitted: contract.Level(req.Admitted),
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -39,6 +40,8 @@
 
 // Request is one request to the upstream. HTTP is only read.
 type Request struct {
+	// HTTP must not be reused if its body is a stream: that may still be read when Do has
+	// returned.
 	HTTP *fasthttp.Request
 	// Order marks a request that must run at most once.
 	Order bool
@@ -110,7 +113,7 @@
 	r       *bufio.Reader
 	w       *bufio.Writer
 	usedAt  time.Time
-	written int
+	written atomic.Int64
 	// unnamed says that the last answer named no request. The upstream might send it
 	// again where the next one is expected.
 	unnamed bool
@@ -156,7 +159,7 @@
 // Write writes to the connection and counts the bytes handed to the kernel.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.written += n
+	c.written.Add(int64(n))
 	return n, err
 }
 
@@ -209,7 +212,7 @@
 // exchange runs one request over the connection and reports whether the
 // connection can be reused.
 func (c *Client) exchange(ctx context.Context, cn *conn, req Request, answer *fasthttp.Response) (Outcome, bool) {
-	cn.written = 0
+	cn.written.Store(0)
 	afterUnnamed := cn.unnamed
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = cn.SetDeadline(deadline)
@@ -220,10 +223,10 @@
 	step, err := c.sendAndRead(ctx, cn, req, answer)
 	notCancelled := stop()
 	if err != nil && step == stepSend {
-		return failed(ctx, cn.written, step, err), false
+		return failed(ctx, cn.written.Load(), step, err), false
 	}
 	if err != nil {
-		return readFailed(ctx, cn.written, answer, err), false
+		return readFailed(ctx, cn.written.Load(), answer, err), false
 	}
 	framed := answer.Header.ContentLength() != untilClose
 	reusable := notCancelled && step == stepDone && framed && !cn.foreign && !answer.ConnectionClose() && cn.r.Buffered() == 0
@@ -258,6 +261,9 @@
 // upstream may answer before it has read the body, and then close the connection
 // or stop reading.
 func (c *Client) sendAndRead(ctx context.Context, cn *conn, req Request, answer *fasthttp.Response) (step string, err error) {
+	if req.HTTP.IsBodyStream() {
+		return c.streamAndRead(ctx, cn, req, answer)
+	}
 	if len(req.HTTP.Body()) <= bufferSize {
 		if err := send(cn, req); err != nil {
 			return stepSend, err
--- a/internal/upstream/failure.go
+++ b/internal/upstream/failure.go
@@ -12,7 +12,7 @@
 )
 
 // readFailed returns the outcome of a request whose answer could not be read.
-func readFailed(ctx context.Context, written int, answer *fasthttp.Response, err error) Outcome {
+func readFailed(ctx context.Context, written int64, answer *fasthttp.Response, err error) Outcome {
 	out := failed(ctx, written, stepRead, err)
 	if out.Reason != contract.ReasonUpstreamFailed {
 		return out
@@ -32,11 +32,14 @@
 
 // failed returns the outcome for an error of the connection. A request of which
 // no byte was written was not run.
-func failed(ctx context.Context, written int, step string, err error) Outcome {
+func failed(ctx context.Context, written int64, step string, err error) Outcome {
 	verdict := contract.MayHaveRun
 	if written == 0 {
 		verdict = contract.NotRun
 	}
+	if errors.Is(err, errBodyEnded) {
+		return Outcome{Verdict: verdict, Reason: contract.ReasonCancelled, Detail: err.Error()}
+	}
 	var timeout interface{ Timeout() bool } // fasthttp's timeout error is not a net.Error
 	if ctx.Err() != nil || (errors.As(err, &timeout) && timeout.Timeout()) {
 		return contextOutcome(ctx, verdict)
@@ -44,6 +47,12 @@
 	return Outcome{Verdict: verdict, Reason: contract.ReasonUpstreamFailed, Detail: step + ": " + describe(err)}
 }
 
+// isNetwork reports whether an error is one of the connection.
+func isNetwork(err error) bool {
+	var network *net.OpError
+	return errors.As(err, &network)
+}
+
 // describe returns a text for an error that quotes nothing of what the upstream
 // sent, which may belong to another caller. The errors of the HTTP library quote
 // it.
