What the kernel holds for a connection is bounded

What callers saw: a node that holds 300 to 600 MiB in the kernel's send queues for clients that read many small answers slowly, where its VM has 128 MiB.

Cause: no socket had a bound of its own, and the kernel lets a queue grow to several MiB; no budget counted it.

The listeners for clients, the platform and metrics have small buffers now, which their connections inherit. A large answer gets a larger buffer while it is written, and keeps its share of the memory until the client has taken it. An upload gets one while it is read. Connections to the upstream are bounded as well: its answers wait there. One connection counts 48 KiB in place of 32, so fewer fit: 1,514 at 284 MiB.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -14,13 +15,26 @@
 	Name     string
 	Address  string
 	Listener *net.Listener
+	// SmallQueues keeps what the kernel holds for each accepted connection small.
+	SmallQueues bool
+}
+
+// listen opens the listener.
+func (b Binding) listen() (net.Listener, error) {
+	var config net.ListenConfig
+	if b.SmallQueues {
+		config.Control = func(_, _ string, c syscall.RawConn) error {
+			return c.Control(func(fd uintptr) { setQueues(fd, smallReceiveQueue, smallSendQueue) })
+		}
+	}
+	return config.Listen(context.Background(), "tcp", b.Address)
 }
 
 // Listen opens all listeners. If one fails it closes those opened before and
 // returns the error.
 func Listen(all ...Binding) error {
 	for i, b := range all {
-		l, err := net.Listen("tcp", b.Address)
+		l, err := b.listen()
 		if err != nil {
 			closeAll(all[:i])
 			return errors.Wrap(err, b.Name)
--- a/internal/endpoint/endpoint_test.go
+++ b/internal/endpoint/endpoint_test.go
@@ -8,7 +8,7 @@
 
 func TestListenOpensAllOrNone(t *testing.T) {
 	var first, second net.Listener
-	if err := Listen(Binding{"first", "127.0.0.1:0", &first}); err != nil {
+	if err := Listen(Binding{Name: "first", Address: "127.0.0.1:0", Listener: &first}); err != nil {
 		t.Fatal(err)
 	}
 	defer first.Close()
@@ -20,7 +20,7 @@
 	c.Close()
 
 	var none net.Listener
-	err = Listen(Binding{"second", "127.0.0.1:0", &second}, Binding{"third", inUse, &none})
+	err = Listen(Binding{Name: "second", Address: "127.0.0.1:0", Listener: &second}, Binding{Name: "third", Address: inUse, Listener: &none})
 	if err == nil || !strings.HasPrefix(err.Error(), "third: ") || none != nil {
 		t.Fatalf("address in use: got error %v, listener %v; want an error for third and no listener", err, none)
 	}
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"heathershed/internal/endpoint"
 	"heathershed/internal/memory"
 )
 
@@ -16,6 +17,8 @@
 	FreeAnswer = 8 << 10
 	// writeStep is the size in bytes of the pieces in which a larger answer is written.
 	writeStep = 32 << 10
+	// takenPoll is how often it is checked whether a client has taken an answer.
+	takenPoll = 20 * time.Millisecond
 )
 
 // answer is the body of an answer that holds a share of the memory until it is written. It
@@ -68,6 +71,9 @@
 
 // WriteTo implements io.WriterTo.
 func (a *answer) WriteTo(w io.Writer) (int64, error) {
+	if a.guard != nil {
+		a.guard.enlargeSendQueue()
+	}
 	progress := watchWrites(a.conn)
 	defer progress.end()
 	a.room.Begin(time.Now(), a.abort, progress.taken)
@@ -93,15 +99,39 @@
 	_ = a.conn.Close()
 }
 
-// Close implements io.Closer. It gives back the memory.
+// Close implements io.Closer. The memory is given back once the client has taken the bytes
+// that the kernel holds.
 func (a *answer) Close() error {
 	if a.body == nil {
 		return nil
 	}
 	a.body, a.rest = nil, nil
-	a.room.Release()
-	if a.guard != nil {
-		a.guard.addAnswers(-1)
+	if a.guard == nil {
+		a.room.Release()
+		return nil
+	}
+	a.guard.addAnswers(-1)
+	if endpoint.HasTaken(a.conn) {
+		a.release()
+		return nil
 	}
+	a.room.Lower(endpoint.LargeSendQueue)
+	go a.releaseWhenTaken()
 	return nil
 }
+
+// releaseWhenTaken waits until the client has taken the answer, or the connection is
+// closed.
+func (a *answer) releaseWhenTaken() {
+	ticker := time.NewTicker(takenPoll)
+	defer ticker.Stop()
+	for !endpoint.HasTaken(a.conn) {
+		<-ticker.C
+	}
+	a.release()
+}
+
+func (a *answer) release() {
+	a.guard.shrinkSendQueue()
+	a.room.Release()
+}
--- a/internal/ingress/answer_test.go
+++ b/internal/ingress/answer_test.go
@@ -19,7 +19,7 @@
 func answerServer(t *testing.T, budget *memory.Budget, size int) string {
 	t.Helper()
 	body := bytes.Repeat([]byte("0123456789abcdef"), size/16)
-	s := NewWithOptions(Options{}, func(ctx context.Context, rc *fasthttp.RequestCtx) {
+	s := NewWithOptions(Options{SmallQueues: true}, func(ctx context.Context, rc *fasthttp.RequestCtx) {
 		room := budget.Claim(time.Now(), false, nil)
 		if err := room.Await(ctx, int64(len(body))); err != nil {
 			rc.Error(err.Error(), 502)
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -4,12 +4,17 @@
 	"net"
 	"sync"
 	"time"
+
+	"heathershed/internal/endpoint"
 )
 
 // guard bounds the connections of a server.
 type guard struct {
 	// most is 0 for no bound.
 	most int
+	// smallQueues says that what the kernel holds for a connection is kept small, except
+	// while a large answer passes.
+	smallQueues bool
 
 	mu   sync.Mutex
 	open map[*guardedConn]struct{}
@@ -17,8 +22,8 @@
 	closed int64
 }
 
-func newGuard(most int) *guard {
-	return &guard{most: most, open: make(map[*guardedConn]struct{})}
+func newGuard(most int, smallQueues bool) *guard {
+	return &guard{most: most, smallQueues: smallQueues, open: make(map[*guardedConn]struct{})}
 }
 
 // stats returns the open connections, and how many were closed at the bound since the
@@ -110,6 +115,13 @@
 	return c.Conn.Close()
 }
 
+// enlargeSendQueue lets the kernel hold more of a large answer.
+func (c *guardedConn) enlargeSendQueue() {
+	if c.guard.smallQueues {
+		endpoint.EnlargeSendQueue(c.Conn)
+	}
+}
+
 // addAnswers records that n more answers are to be written in pieces. Until the last one
 // is, the connection is busy.
 func (c *guardedConn) addAnswers(n int) {
@@ -121,6 +133,16 @@
 	}
 }
 
+// shrinkSendQueue sets the size for small answers unless a large one is written.
+func (c *guardedConn) shrinkSendQueue() {
+	c.guard.mu.Lock()
+	writing := c.answers > 0
+	c.guard.mu.Unlock()
+	if !writing && c.guard.smallQueues {
+		endpoint.ShrinkSendQueue(c.Conn)
+	}
+}
+
 // Write implements net.Conn.
 func (c *guardedConn) Write(p []byte) (int, error) {
 	defer c.written()
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -69,6 +69,9 @@
 	// wait to be read by their clients. Handlers of other requests reserve memory
 	// themselves, see SetAnswer. The default is no bound.
 	Responses *memory.Budget
+	// SmallQueues says that the listener keeps what the kernel holds for a connection
+	// small, so that more is needed while a large body or answer passes.
+	SmallQueues bool
 	// MaxConns bounds the open connections. The default is no bound.
 	MaxConns int
 	// Idempotent says which requests may run before their answers are due, beside
@@ -90,7 +93,7 @@
 	if o.IdleTimeout <= 0 {
 		o.IdleTimeout = idleTimeout
 	}
-	s := &Server{options: o, guard: newGuard(o.MaxConns)}
+	s := &Server{options: o, guard: newGuard(o.MaxConns, o.SmallQueues)}
 	if o.Idempotent != nil {
 		s.pipeline = newPipeline(o, handle, &s.draining)
 	}
--- a/internal/ingress/upload.go
+++ b/internal/ingress/upload.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"heathershed/internal/endpoint"
 	"heathershed/internal/wait"
 )
 
@@ -61,6 +62,9 @@
 func newUpload(r *bodyReader, prefix []byte, stream io.Reader) *Upload {
 	u := &Upload{Length: r.declared, reader: r, stream: stream, conn: r.rc.Conn(), read: len(prefix)}
 	u.prefix.Reset(prefix)
+	if g := guardOf(u.conn); g != nil && g.guard.smallQueues {
+		endpoint.EnlargeReceiveQueue(u.conn)
+	}
 	return u
 }
 
--- a/internal/sidecar/bodies.go
+++ b/internal/sidecar/bodies.go
@@ -39,10 +39,10 @@
 	// has no limit.
 	defaultMaxBody = 8 << 20
 	// connMemoryDivisor gives the part of the memory that the buffers of clients'
-	// connections may take, and connMemory what one takes, in bytes: the read buffer
-	// and stacks.
+	// connections may take, and connMemory what one takes, in bytes: the read buffer,
+	// stacks and the queues of the kernel.
 	connMemoryDivisor = 4
-	connMemory        = 32 << 10
+	connMemory        = 48 << 10
 	// descriptorDivisor gives the part of the process's descriptors that clients'
 	// connections may take.
 	descriptorDivisor = 2
@@ -124,10 +124,11 @@
 			IsOrder: n.isOrder,
 			Refuse:  n.refuseBody,
 		},
-		Responses:  n.budgets.responses,
-		MaxConns:   maxClientConns(n.cfg.Memory),
-		Idempotent: n.mayRunAhead,
-		AnswerSize: n.expectedAnswer,
+		Responses:   n.budgets.responses,
+		SmallQueues: true,
+		MaxConns:    maxClientConns(n.cfg.Memory),
+		Idempotent:  n.mayRunAhead,
+		AnswerSize:  n.expectedAnswer,
 	}
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -289,11 +289,11 @@
 
 func (n *Node) listen() (l listeners, err error) {
 	err = endpoint.Listen(
-		endpoint.Binding{Name: "[addresses] clients", Address: n.cfg.Clients, Listener: &l.clients},
+		endpoint.Binding{Name: "[addresses] clients", Address: n.cfg.Clients, Listener: &l.clients, SmallQueues: true},
 		endpoint.Binding{Name: "[addresses] link", Address: n.cfg.Link, Listener: &l.link},
-		endpoint.Binding{Name: "[addresses] ready", Address: n.cfg.Ready, Listener: &l.ready},
-		endpoint.Binding{Name: "[addresses] heartbeats", Address: n.cfg.Heartbeats, Listener: &l.heartbeats},
-		endpoint.Binding{Name: "[addresses] metrics", Address: n.cfg.Metrics, Listener: &l.metrics},
+		endpoint.Binding{Name: "[addresses] ready", Address: n.cfg.Ready, Listener: &l.ready, SmallQueues: true},
+		endpoint.Binding{Name: "[addresses] heartbeats", Address: n.cfg.Heartbeats, Listener: &l.heartbeats, SmallQueues: true},
+		endpoint.Binding{Name: "[addresses] metrics", Address: n.cfg.Metrics, Listener: &l.metrics, SmallQueues: true},
 	)
 	return l, err
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -23,6 +23,7 @@
 	"github.com/valyala/fasthttp"
 
 	"heathershed/internal/contract"
+	"heathershed/internal/endpoint"
 )
 
 const (
@@ -36,6 +37,9 @@
 	// cancelOffset is how far in the past the connection's deadline is set to
 	// unblock a cancelled exchange.
 	cancelOffset = time.Millisecond
+	// connQueue is what the kernel may hold for one connection, each way, in bytes. An
+	// answer waits at the upstream where the node has no memory for it.
+	connQueue = 64 << 10
 )
 
 // Request is one request to the upstream. HTTP is only read.
@@ -173,7 +177,11 @@
 		maxIdle: maxIdle,
 		memory:  newMemory(memory),
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
+			c, err := dialer.DialContext(ctx, "tcp", address)
+			if err == nil {
+				endpoint.SetQueues(c, connQueue)
+			}
+			return c, err
 		},
 	}
 }
