A refused client that still sends gets the refusal

A refusal that isn't read promises nothing: an order is lost for its caller.

Cause: the connection was closed while bytes of the client were unread, and the kernel then resets it.

--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"heathershed/internal/endpoint"
@@ -15,6 +16,8 @@
 	// smallQueues says that what the kernel holds for a connection is kept small, except
 	// while a large answer passes.
 	smallQueues bool
+	// lingering are the connections that are closed once their rest is read.
+	lingering lingering
 
 	mu   sync.Mutex
 	open map[*guardedConn]struct{}
@@ -95,6 +98,9 @@
 	since time.Time
 	// answers counts the answers that are to be written in pieces.
 	answers int
+	// linger says that the rest of what the client sends is read before the connection is
+	// closed.
+	linger atomic.Bool
 }
 
 // NetConn returns the wrapped connection.
@@ -109,6 +115,13 @@
 
 // Close implements net.Conn.
 func (c *guardedConn) Close() error {
+	if c.linger.CompareAndSwap(true, false) && c.guard.lingering.start(c.Conn, func() { _ = c.closeNow() }) {
+		return nil
+	}
+	return c.closeNow()
+}
+
+func (c *guardedConn) closeNow() error {
 	c.guard.mu.Lock()
 	delete(c.guard.open, c)
 	c.guard.mu.Unlock()
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -94,6 +94,7 @@
 		o.IdleTimeout = idleTimeout
 	}
 	s := &Server{options: o, guard: newGuard(o.MaxConns, o.SmallQueues)}
+	s.guard.lingering.request = s.requestBytes
 	if o.Idempotent != nil {
 		s.pipeline = newPipeline(o, handle, &s.draining)
 	}
@@ -160,6 +161,7 @@
 	body, upload, give, err := s.options.Bodies.read(rc)
 	if err != nil {
 		rc.SetConnectionClose()
+		lingerOnClose(rc.Conn())
 		s.options.Bodies.Refuse(rc, err)
 		return nil, give, false
 	}
--- a/internal/ingress/upload.go
+++ b/internal/ingress/upload.go
@@ -90,6 +90,13 @@
 	return u.err
 }
 
+// complete reports whether the body was read to its end.
+func (u *Upload) complete() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return errors.Is(u.err, io.EOF)
+}
+
 // fail records the first error that ends the body, and returns it.
 func (u *Upload) fail(err error) error {
 	u.mu.Lock()
@@ -144,6 +151,9 @@
 	rc.SetUserValue(uploadKey{}, nil)
 	rc.SetConnectionClose()
 	u.close()
+	if !u.complete() {
+		lingerOnClose(rc.Conn())
+	}
 }
 
 // cancelOnHangup calls cancel when the client closes the connection, until ctx ends.
--- a/internal/ingress/upload_test.go
+++ b/internal/ingress/upload_test.go
@@ -149,3 +149,34 @@
 	_ = c.Close()
 	s.awaitUnused()
 }
+
+// Guards against an answer that is lost because the rest of the body is not read.
+func TestAnswerBeforeTheEndOfAnUploadIsRead(t *testing.T) {
+	s := serveUploads(t)
+	s.early.Store(true)
+	const size = 8 << 20
+	c := s.dial(declared("/", size, strings.Repeat("a", size)))
+	if status, got := s.answer(c); status != 200 || got != "early" {
+		t.Errorf("got status %d, %q", status, got)
+	}
+	s.awaitUnused()
+}
+
+// Guards against a refusal that is lost because its client still sends.
+func TestRefusalIsReadBySendingClient(t *testing.T) {
+	s := serveUploads(t)
+	const size = uploadLimit + 4<<20
+	for name, text := range map[string]string{
+		"declared": declared("/", size, strings.Repeat("a", size)),
+		"chunked":  chunked("/", 64<<10, size),
+	} {
+		want := 413
+		if name == "chunked" {
+			want = 400 // by the handler of this test
+		}
+		if status, _ := s.answer(s.dial(text)); status != want {
+			t.Errorf("%s: got status %d, want %d", name, status, want)
+		}
+	}
+	s.awaitUnused()
+}
