Connections for metrics, readiness checks and heartbeats are bounded

What callers saw: a node that ends because strangers speak to its port for metrics: 500 MiB for 400 headers of 1 MiB, 978 MiB in the kernel's queues for 400 clients that don't read, where the VM has 128 MiB.

Cause: the defaults of net/http (headers of 1 MiB, no bound on connections or on the time to write), and no bound on connections of the two ports of the platform.

Headers are bounded at 16 KiB, a request and its answer at 5 s each, connections at 32 for metrics and 128 for each port of the platform. At the bound the one without an answer for the longest time is closed, so that new ones get through.

TestBudgetsFitIntoTheMemory adds up what a process may hold at 128, 184 and 284 MiB.

--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -43,6 +43,12 @@
 	guard *guard
 }
 
+// BoundConns bounds the open connections of a listener. At the bound the connection without an answer for the longest time is closed.
+func BoundConns(l net.Listener, most int) net.Listener {
+	const smallQueues = false // no large answers are written in pieces
+	return guardedListener{l, newGuard(most, smallQueues)}
+}
+
 // Accept implements net.Listener. At the bound it closes the connection that has been
 // without a complete request for the longest time, or the new one if there is none.
 func (l guardedListener) Accept() (net.Conn, error) {
--- a/internal/sidecar/memory_test.go
+++ b/internal/sidecar/memory_test.go
@@ -15,6 +15,7 @@
 
 // Guards against budgets that together exceed the memory of the VM.
 func TestBudgetsFitIntoTheMemory(t *testing.T) {
+	const smallConn = 16 << 10 // bytes that a connection for metrics or of the platform takes
 	for _, size := range []int64{128 << 20, 184 << 20, 284 << 20} {
 		b := newBudgets(size)
 		rows := map[string]int64{
@@ -24,6 +25,7 @@
 			"answers of upstream": answerMemory(size),
 			"connections":         int64(maxClientConns(size)) * connMemory,
 			"read-ahead":          readAhead,
+			"other connections":   (maxScrapers + 2*maxPlatformConns) * smallConn,
 		}
 		total := int64(0)
 		for _, bytes := range rows {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -63,8 +63,14 @@
 	platformRequest = 64 << 10
 	// platformReadTimeout bounds the time to receive one.
 	platformReadTimeout = 5 * time.Second
-	// scrapeTimeout bounds reading the header of a request for metrics.
+	// scrapeTimeout bounds reading a request for metrics, and writing its answer.
 	scrapeTimeout = 5 * time.Second
+	// maxScrapeHeader bounds the header of such a request in bytes.
+	maxScrapeHeader = 16 << 10
+	// maxScrapers bounds the connections for metrics, and maxPlatformConns those for
+	// readiness checks and for heartbeats.
+	maxScrapers      = 32
+	maxPlatformConns = 128
 )
 
 // Node is one heathershed process. Its methods are safe for concurrent use.
@@ -206,7 +212,12 @@
 	n.ingress = ingress.NewWithOptions(n.ingressOptions(), n.serveClient)
 	n.ready = newPlatformServer(n.serveReady, log)
 	n.heartbeats = newPlatformServer(n.serveHeartbeat, log)
-	n.metricsServer = &http.Server{Handler: n.operatorHandler(), ReadHeaderTimeout: scrapeTimeout}
+	n.metricsServer = &http.Server{
+		Handler:        n.operatorHandler(),
+		ReadTimeout:    scrapeTimeout,
+		WriteTimeout:   scrapeTimeout,
+		MaxHeaderBytes: maxScrapeHeader,
+	}
 	n.linkServer = link.NewServer(n, &n.traffic)
 	return n
 }
@@ -224,6 +235,12 @@
 	}
 }
 
+// boundPlatform bounds the connections of the platform's own requests and the bytes of each
+// request.
+func boundPlatform(l net.Listener) net.Listener {
+	return ingress.BoundConns(endpoint.Bounded(l, platformRequest), maxPlatformConns)
+}
+
 // answerMemory returns the bytes that the bodies of answers may hold together
 // while they are read, for a process that has the given memory.
 func answerMemory(size int64) int64 { return max(size/answerMemoryDivisor, maxAnswer) }
@@ -243,9 +260,9 @@
 	n.links = link.NewSet(running, group, n, &n.traffic, endpoint.Dial)
 	group.Go(func() error { return n.ingress.Serve(l.clients) })
 	group.Go(func() error { return n.linkServer.Serve(l.link) })
-	group.Go(func() error { return n.ready.Serve(endpoint.Bounded(l.ready, platformRequest)) })
-	group.Go(func() error { return n.heartbeats.Serve(endpoint.Bounded(l.heartbeats, platformRequest)) })
-	group.Go(func() error { return n.serveMetrics(l.metrics) })
+	group.Go(func() error { return n.ready.Serve(boundPlatform(l.ready)) })
+	group.Go(func() error { return n.heartbeats.Serve(boundPlatform(l.heartbeats)) })
+	group.Go(func() error { return n.serveMetrics(ingress.BoundConns(l.metrics, maxScrapers)) })
 	group.Go(func() error { return n.runWatch(running) })
 	group.Go(func() error { return n.runFreshness(running) })
 	group.Go(func() error { return n.peers.runLinks(running) })
