Memory that is only reserved rejects no requests; answers that wait come first

What callers would have seen: lookups told 503 on a busy node whose requests run for some hundred milliseconds, though their answers hold memory for a few each: 100 of 300 KiB reserve 30 MiB. And answers that wait for memory until their deadline, while requests that come later take what is given back.

Both by reading the new code. A budget now tells bytes that are there from those that are expected: the latter reject requests only while half of the budget is in use. What answers wait for is left to them. TestMostlyFree, TestReserve and TestAwaitedBytesComeBeforeExpectedOnes state it.

--- a/internal/ingress/answer_test.go
+++ b/internal/ingress/answer_test.go
@@ -27,17 +27,7 @@
 		}
 		SetAnswer(rc, body, room)
 	})
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = s.Serve(ln) }()
-	t.Cleanup(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		_ = s.Shutdown(ctx)
-	})
-	return ln.Addr().String()
+	return listen(t, s)
 }
 
 // get requests an answer and reads its head. The rest does not fit into a small receive
--- a/internal/ingress/body_test.go
+++ b/internal/ingress/body_test.go
@@ -51,6 +51,13 @@
 		s.handled.Add(1)
 		_, _ = fmt.Fprint(rc, len(rc.Request.Body()))
 	})
+	s.address = listen(t, s.Server)
+	return s
+}
+
+// listen serves on a free port until the test ends, and returns its address.
+func listen(t *testing.T, s *Server) string {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -61,8 +68,7 @@
 		defer cancel()
 		_ = s.Shutdown(ctx)
 	})
-	s.address = ln.Addr().String()
-	return s
+	return ln.Addr().String()
 }
 
 // dial connects and sends text.
--- a/internal/ingress/pipeline.go
+++ b/internal/ingress/pipeline.go
@@ -257,6 +257,7 @@
 		rc.SetConnectionClose()
 		return
 	}
+	room.Settle(int64(len(body)))
 	SetAnswer(rc, body, room)
 }
 
--- a/internal/ingress/upload_test.go
+++ b/internal/ingress/upload_test.go
@@ -46,17 +46,7 @@
 			Refuse:  func(rc *fasthttp.RequestCtx, err error) { rc.Error(err.Error(), max(status[err], 400)) },
 		},
 	}, s.handle)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = s.Serve(ln) }()
-	t.Cleanup(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		_ = s.Shutdown(ctx)
-	})
-	s.address = ln.Addr().String()
+	s.address = listen(t, s.Server)
 	return s
 }
 
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -4,7 +4,6 @@
 package memory
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -42,10 +41,13 @@
 	// onlyStalled says that a transfer that makes progress is never aborted.
 	onlyStalled bool
 
-	mu     sync.Mutex
-	used   int64
-	claims map[*Claim]struct{}
-	freed  chan struct{}
+	mu   sync.Mutex
+	used int64
+	// settled is the part of used that holds bytes; the rest is reserved for bytes that
+	// are expected. awaited is what the claims that wait need together.
+	settled, awaited int64
+	claims           map[*Claim]struct{}
+	freed            chan struct{}
 	// aborted and refused count since the start.
 	aborted, refused int64
 	released         Rate
@@ -76,73 +78,12 @@
 	return b.used, b.aborted, b.refused
 }
 
-// RoomIn returns the expected time until n more bytes are free, by the rate of the recent
-// past; 0 if that is not known.
-func (b *Budget) RoomIn(now time.Time, n int64) time.Duration {
+// MostlyFree reports whether less than half of the budget holds bytes, or is awaited for
+// bytes that are there already.
+func (b *Budget) MostlyFree() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.released.TimeFor(now, b.used+n-b.size)
-}
-
-// Claim is the part of a budget that one transfer holds.
-type Claim struct {
-	budget *Budget
-	order  bool
-	abort  func()
-	// taken returns how many bytes the receiver has taken; nil if that is not known.
-	taken     func() int64
-	lastTaken int64
-	held      int64
-	progress  time.Time
-	// fixed is set once the transfer must not be aborted any more.
-	fixed, aborted bool
-	// released is set once the claim can hold nothing any more.
-	released bool
-}
-
-// Claim returns a claim that holds nothing yet. abort ends the transfer; it is
-// called with the budget locked, at most once, and must not block. With nil the claim
-// is never aborted.
-func (b *Budget) Claim(now time.Time, order bool, abort func()) *Claim {
-	return &Claim{budget: b, order: order, abort: abort, progress: now, fixed: abort == nil}
-}
-
-// Reserve raises what the claim holds to n bytes. If there is not enough memory, it
-// aborts the transfer that has made no progress for the longest time: of lookups
-// before orders, and for an order also a lookup that still makes progress. freed is
-// closed when memory has been released.
-func (c *Claim) Reserve(now time.Time, n int64) (v Verdict, freed <-chan struct{}) {
-	b := c.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	v, freed = c.reserveLocked(now, n)
-	if v == Refused {
-		b.refused++
-	}
-	return v, freed
-}
-
-func (c *Claim) reserveLocked(now time.Time, n int64) (v Verdict, freed <-chan struct{}) {
-	b := c.budget
-	if c.aborted || c.released {
-		return Refused, nil
-	}
-	limit := b.size
-	if !c.order {
-		limit = b.LargestLookup()
-	}
-	more := n - c.held
-	if more <= 0 || b.used+more <= limit {
-		b.used += max(more, 0)
-		c.held = max(c.held, n)
-		c.progress = now
-		b.claims[c] = struct{}{}
-		return Granted, nil
-	}
-	if n <= limit && (b.awaitsRelease() || b.abortFor(now, c)) {
-		return Wait, b.freed
-	}
-	return Refused, nil
+	return b.settled+b.awaited < b.size/2
 }
 
 // awaitsRelease reports whether an aborted transfer still holds memory.
@@ -185,146 +126,15 @@
 	return stalled || favoured.order && !c.order && !b.onlyStalled
 }
 
-// updateProgress records that the receiver has taken bytes since the last look.
-func (c *Claim) updateProgress(now time.Time) {
-	if c.taken == nil || c.fixed {
-		return
-	}
-	if n := c.taken(); n > c.lastTaken {
-		c.lastTaken, c.progress = n, now
-	}
-}
-
-// Await reserves n bytes and waits for them until ctx ends. Meanwhile the claim holds
-// nothing, so that no two claims wait for each other. One for more than it can ever get
-// takes all that it can.
-func (c *Claim) Await(ctx context.Context, n int64) error {
-	b := c.budget
-	most := b.size
-	if !c.order {
-		most = b.LargestLookup()
-	}
-	n = min(n, most)
-	ticker := time.NewTicker(waitPoll)
-	defer ticker.Stop()
-	for {
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		b.mu.Lock()
-		v, _ := c.reserveLocked(time.Now(), n)
-		if v != Granted {
-			c.lowerLocked(0)
-		}
-		freed, ended := b.freed, c.aborted || c.released
-		b.mu.Unlock()
-		switch {
-		case v == Granted:
-			return nil
-		case ended:
-			return ErrEnded
-		}
-		select {
-		case <-freed:
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-// Held returns what the claim holds, in bytes.
-func (c *Claim) Held() int64 {
-	c.budget.mu.Lock()
-	defer c.budget.mu.Unlock()
-	return c.held
-}
-
-// Lower gives back what the claim holds beyond n bytes.
-func (c *Claim) Lower(n int64) {
-	c.budget.mu.Lock()
-	defer c.budget.mu.Unlock()
-	c.lowerLocked(n)
-}
-
-func (c *Claim) lowerLocked(n int64) {
-	if c.held > n {
-		c.budget.giveBack(c.held - n)
-		c.held = n
-	}
-}
-
-// Begin starts the transfer of a claim that was reserved before. From now on it may be
-// aborted, see Budget.Claim, unless taken grows. taken returns how many bytes the receiver
-// has taken; it is called with the budget locked and must not block.
-func (c *Claim) Begin(now time.Time, abort func(), taken func() int64) {
-	c.budget.mu.Lock()
-	defer c.budget.mu.Unlock()
-	c.abort, c.taken, c.progress, c.fixed = abort, taken, now, false
-}
-
-// Acquire reserves n bytes. While an aborted transfer is about to release memory it
-// waits, until timeout at most. It reports whether the bytes are reserved.
-func (c *Claim) Acquire(n int64, timeout time.Duration) bool {
-	var late <-chan time.Time
-	for {
-		verdict, freed := c.Reserve(time.Now(), n)
-		switch {
-		case verdict == Granted:
-			return true
-		case verdict == Refused:
-			return false
-		case late == nil:
-			timer := time.NewTimer(timeout)
-			defer timer.Stop()
-			late = timer.C
-		}
-		select {
-		case <-freed:
-		case <-late:
-			return false
-		}
-	}
-}
-
-// Progress records that the transfer moves.
-func (c *Claim) Progress(now time.Time) {
-	c.budget.mu.Lock()
-	defer c.budget.mu.Unlock()
-	c.progress = now
-}
-
-// Fix ends the transfer: its bytes stay reserved, and it is not aborted any more.
-func (c *Claim) Fix() {
-	c.budget.mu.Lock()
-	defer c.budget.mu.Unlock()
-	c.fixed = true
-}
-
-// Aborted reports whether the transfer was aborted.
-func (c *Claim) Aborted() bool {
-	c.budget.mu.Lock()
-	defer c.budget.mu.Unlock()
-	return c.aborted
-}
-
-// Release gives back all that the claim holds, for good. Further calls do nothing.
-func (c *Claim) Release() {
-	b := c.budget
+// addAwaited records that claims need n more bytes which are there already.
+func (b *Budget) addAwaited(n int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c.released = true
-	if _, ok := b.claims[c]; !ok {
-		return
-	}
-	delete(b.claims, c)
-	b.giveBack(c.held)
-	c.held = 0
+	b.awaited += n
 }
 
-// giveBack frees n bytes and wakes the claims that wait. The caller holds b.mu.
-func (b *Budget) giveBack(n int64) {
-	b.used -= n
+// announce wakes the claims that wait, as n bytes were given back. The caller holds b.mu.
+func (b *Budget) announce(n int64) {
 	b.released.Add(time.Now(), n)
 	close(b.freed)
 	b.freed = make(chan struct{})
--- a/internal/memory/rate_test.go
+++ b/internal/memory/rate_test.go
@@ -128,3 +128,54 @@
 		t.Errorf("beside a stalled lookup: got %v, aborted %v", v, aborted)
 	}
 }
+
+// Guards against answers that wait for memory while requests that have not run take it.
+func TestAwaitedBytesComeBeforeExpectedOnes(t *testing.T) {
+	b := New(100, stall)
+	first, waiting, expected := b.Claim(start, true, nil), b.Claim(start, true, nil), b.Claim(start, true, nil)
+	if !first.Acquire(80, 0) {
+		t.Fatal("no memory")
+	}
+	waited := make(chan error, 1)
+	go func() { waited <- waiting.Await(t.Context(), 40) }()
+	for b.MostlyFree() && expected.RoomIn(time.Now(), 0) == 0 {
+		b.mu.Lock()
+		awaited := b.awaited
+		b.mu.Unlock()
+		if awaited == 40 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if v, _ := expected.Reserve(time.Now(), 10); v != Refused {
+		t.Errorf("expected bytes beside awaited ones: got %v, want Refused", v)
+	}
+	first.Release()
+	if err := <-waited; err != nil || waiting.Held() != 40 {
+		t.Errorf("awaited bytes: got %v, holds %d", err, waiting.Held())
+	}
+	if v, _ := expected.Reserve(time.Now(), 60); v != Granted {
+		t.Errorf("expected bytes afterwards: got %v", v)
+	}
+}
+
+// Guards against a budget that counts as full because of what is only expected.
+func TestMostlyFree(t *testing.T) {
+	b := New(100, stall)
+	c := b.Claim(start, true, nil)
+	if !c.Acquire(90, 0) || !b.MostlyFree() {
+		t.Error("reserved bytes: not mostly free")
+	}
+	c.Settle(60)
+	if b.MostlyFree() || c.Held() != 60 {
+		t.Errorf("60 of 100 are there: mostly free, holds %d", c.Held())
+	}
+	c.Lower(40)
+	if !b.MostlyFree() {
+		t.Error("40 of 100 are there: not mostly free")
+	}
+	c.Release()
+	if used, _, _ := b.Stats(); used != 0 || b.settled != 0 {
+		t.Errorf("afterwards: %d used, %d settled", used, b.settled)
+	}
+}
--- a/internal/sidecar/answers.go
+++ b/internal/sidecar/answers.go
@@ -28,14 +28,15 @@
 
 // reserveRoom reserves memory for the answer of a call until c.releaseRoom, as far as the
 // route's answers are known to need some. The returned reply rejects the call if there is
-// none.
+// none. Memory that is reserved but still empty rejects nothing: most answers keep theirs
+// for a short time only.
 func (n *Node) reserveRoom(now time.Time, c *call) *linkpb.CallReply {
 	c.room = n.budgets.responses.Claim(now, !c.route.Idempotent, nil)
 	expected := n.answerSizes.Expected(c.route.Name)
-	if expected <= ingress.FreeAnswer || c.room.Acquire(expected, roomWait) {
+	if expected <= ingress.FreeAnswer || c.room.Acquire(expected, roomWait) || n.budgets.responses.MostlyFree() {
 		return nil
 	}
-	return outcome.RetryAfterReply(n.budgets.responses.RoomIn(now, expected), contract.ReasonOverload, "no memory is left for the answer")
+	return outcome.RetryAfterReply(c.room.RoomIn(now, expected), contract.ReasonOverload, "no memory is left for the answer")
 }
 
 // awaitRoom waits until there is memory for an answer of n bytes to a call.
@@ -81,7 +82,7 @@
 	if size <= ingress.FreeAnswer {
 		c.room.Release()
 	} else {
-		c.room.Lower(size)
+		c.room.Settle(size)
 	}
 	return reply
 }
--- a/internal/upstream/hold.go
+++ b/internal/upstream/hold.go
@@ -9,16 +9,18 @@
 // Held is the share of the memory that the body of an answer keeps after it was
 // read, until it has been passed on. It is safe for concurrent use.
 type Held struct {
-	mu       sync.Mutex
-	memory   *memory
-	bytes    int64
+	mu     sync.Mutex
+	memory *memory // nil if nothing is held
+	bytes  int64
+	// reserved says that the bytes are for an answer that is expected.
+	reserved bool
 	released bool
 }
 
 // Reserve takes the share of the memory of an answer that is expected to be of n bytes,
-// before its request is sent. It reports whether there is one; otherwise room is the
-// expected time until there is, 0 if that is not known. Without a Held in ctx nothing is
-// reserved.
+// before its request is sent, if there is one. If there is none because answers hold the
+// memory, ok is false, and room the expected time until there is; 0 if that is not known.
+// Without a Held in ctx nothing is reserved.
 func (c *Client) Reserve(ctx context.Context, n int64) (room time.Duration, ok bool) {
 	h := heldIn(ctx)
 	need := min(share(int(n)), c.memory.size)
@@ -26,9 +28,10 @@
 		return 0, true
 	}
 	if !c.memory.tryAcquire(need) {
-		return c.memory.roomIn(need), false
+		return c.memory.roomIn(need), c.memory.mostlyFree()
 	}
-	h.keep(c.memory, need)
+	const reserved = true
+	h.set(c.memory, need, reserved)
 	return 0, true
 }
 
@@ -42,10 +45,18 @@
 	if h.memory != m {
 		return 0
 	}
-	h.memory = nil
+	h.forget()
 	return h.bytes
 }
 
+// forget passes what is held to the caller.
+func (h *Held) forget() {
+	if h.reserved {
+		h.memory.addReserved(-h.bytes)
+	}
+	h.memory, h.reserved = nil, false
+}
+
 type heldKey struct{}
 
 // WithHeld returns a context in which the answer of a request keeps its share of the
@@ -69,7 +80,7 @@
 	h.released = true
 }
 
-// keep replaces what is held by n bytes of m. A nil Held keeps nothing.
+// keep replaces what is held by n bytes of m that an answer has. A nil Held keeps nothing.
 func (h *Held) keep(m *memory, n int64) {
 	if h == nil {
 		if m != nil {
@@ -77,14 +88,27 @@
 		}
 		return
 	}
+	const reserved = false
+	h.set(m, n, reserved)
+}
+
+// set replaces what is held by n bytes of m.
+func (h *Held) set(m *memory, n int64, reserved bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.memory != nil {
-		h.memory.release(h.bytes)
+	if old := h.memory; old != nil {
+		h.forget()
+		old.release(h.bytes)
 	}
-	h.memory, h.bytes = m, n
-	if h.released && m != nil {
+	if m == nil {
+		return
+	}
+	if h.released {
 		m.release(n)
-		h.memory = nil
+		return
+	}
+	h.memory, h.bytes, h.reserved = m, n, reserved
+	if reserved {
+		m.addReserved(n)
 	}
 }
--- a/internal/upstream/hold_test.go
+++ b/internal/upstream/hold_test.go
@@ -51,3 +51,37 @@
 		})
 	}
 }
+
+// Guards against requests that run though their answers will find no memory, against
+// memory that only is expected to be used and rejects requests, and against a reservation
+// that is lost.
+func TestReserve(t *testing.T) {
+	const size, whole = 1 << 20, 2 << 20
+	client := New("127.0.0.1:1", 4, whole)
+	reserve := func() (*Held, bool) {
+		ctx, h := WithHeld(t.Context())
+		_, ok := client.Reserve(ctx, size)
+		return h, ok
+	}
+	first, _ := reserve()
+	second, _ := reserve()
+	third, ok := reserve()
+	if !ok {
+		t.Error("reserved memory rejects a request although nothing holds bytes")
+	}
+	for _, h := range []*Held{first, second} {
+		if got := h.take(client.memory); got != share(size) {
+			t.Errorf("reserved %d bytes, want %d", got, share(size))
+		}
+		h.keep(client.memory, share(size)) // the answer was read
+	}
+	if _, ok := reserve(); ok {
+		t.Error("a request runs although answers hold the memory")
+	}
+	for _, h := range []*Held{first, second, third} {
+		h.Release()
+	}
+	if !client.memory.left.TryAcquire(whole) || client.memory.reserved != 0 || client.memory.used != 0 {
+		t.Errorf("afterwards: %d reserved, %d used", client.memory.reserved, client.memory.used)
+	}
+}
--- a/internal/upstream/memory.go
+++ b/internal/upstream/memory.go
@@ -31,9 +31,11 @@
 	size int64
 	left *semaphore.Weighted
 
-	mu       sync.Mutex
-	used     int64
-	released budget.Rate
+	mu sync.Mutex
+	// used counts the bytes that are taken, and reserved those of them that are for
+	// bodies which are expected.
+	used, reserved int64
+	released       budget.Rate
 }
 
 func newMemory(size int64) *memory {
@@ -74,6 +76,20 @@
 	}
 }
 
+// addReserved records that n more bytes are for bodies that are expected.
+func (m *memory) addReserved(n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reserved += n
+}
+
+// mostlyFree reports whether bodies hold less than half of the memory.
+func (m *memory) mostlyFree() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.used-m.reserved < m.size/2
+}
+
 // roomIn returns the expected time until n bytes are free; 0 if that is not known.
 func (m *memory) roomIn(n int64) time.Duration {
 	m.mu.Lock()
