--- a/internal/crowd/usage_test.go
+++ b/internal/crowd/usage_test.go
@@ -23,6 +23,7 @@
 	resident, queued, total int64
 	descriptors             int
 	err                     error
+	ended                   bool
 }
 
 func newUsage(pid int) *usage { return &usage{pid: pid} }
@@ -39,6 +40,13 @@
 	}
 }
 
+// end ends the reading, as the process is told to stop.
+func (u *usage) end() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.ended = true
+}
+
 // sample reads the usage once.
 func (u *usage) sample() {
 	peak, now, err := residentMemory(u.pid)
@@ -46,6 +54,9 @@
 	queued := queuedBytes(sockets)
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.ended {
+		return
+	}
 	for _, e := range []error{err, fdErr} {
 		if u.err == nil {
 			u.err = e
