memory: waiting claims search for stalled transfers at most every 50 ms

By reading: each release of memory woke all claims that wait, and each of them asked the kernel for the progress of all transfers: 200 by 200 system calls a release, under the lock. A transfer is asked at most every 50 ms now, and so is searched for those who wait.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -130,12 +130,12 @@
 // held. Its buffer grows as bytes arrive: a length that is only declared takes no memory.
 func (r *bodyReader) readAll(stream io.Reader) (body []byte, complete bool, err error) {
 	if min(r.declared, r.limit) > r.whole {
-		return nil, false, r.reserve(uploadMemory)
+		return nil, false, r.reserve(UploadMemory)
 	}
 	body = make([]byte, 0, r.capacity(0))
 	for {
 		if len(body) > r.whole {
-			return body, false, r.reserve(max(len(body), uploadMemory))
+			return body, false, r.reserve(max(len(body), UploadMemory))
 		}
 		if len(body) == cap(body) {
 			size := r.capacity(cap(body))
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -43,7 +43,8 @@
 	guard *guard
 }
 
-// BoundConns bounds the open connections of a listener. At the bound the connection without an answer for the longest time is closed.
+// BoundConns bounds the open connections of a listener. At the bound the connection without
+// an answer for the longest time is closed.
 func BoundConns(l net.Listener, most int) net.Listener {
 	const smallQueues = false // no large answers are written in pieces
 	return guardedListener{l, newGuard(most, smallQueues)}
--- a/internal/ingress/upload.go
+++ b/internal/ingress/upload.go
@@ -16,9 +16,9 @@
 	"heathershed/internal/wait"
 )
 
-// uploadMemory is what a body that is passed on as it arrives takes of the budget, in
+// UploadMemory is what a body that is passed on as it arrives takes of the memory, in
 // bytes: its parts on their way.
-const uploadMemory = 1 << 20
+const UploadMemory = 1 << 20
 
 var (
 	// errUploadClosed is returned for a body whose request has been answered.
@@ -121,7 +121,7 @@
 		n, err := u.prefix.Read(p)
 		if u.prefix.Len() == 0 {
 			u.prefix.Reset(nil)
-			u.reader.claim.Lower(uploadMemory)
+			u.reader.claim.Lower(UploadMemory)
 		}
 		return n, err
 	}
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -13,9 +13,14 @@
 // orderDivisor gives the part of a budget that is kept for orders.
 const orderDivisor = 4
 
-// waitPoll is how often a claim that waits for memory looks for a transfer that has
-// stalled.
-const waitPoll = 100 * time.Millisecond
+const (
+	// waitPoll is how often a claim that waits for memory looks for a transfer that has
+	// stalled.
+	waitPoll = 100 * time.Millisecond
+	// lookInterval is the least time between two looks at one transfer, and between two
+	// searches for claims that wait.
+	lookInterval = 50 * time.Millisecond
+)
 
 // ErrEnded is returned for a claim that was released, or whose transfer had to give way to
 // another one.
@@ -47,7 +52,9 @@
 	// are expected. awaited is what the claims that wait need together.
 	settled, awaited int64
 	claims           map[*Claim]struct{}
-	freed            chan struct{}
+	// searched is when a claim that waits last found none that has stalled.
+	searched time.Time
+	freed    chan struct{}
 	// aborted and refused count since the start.
 	aborted, refused int64
 	released         Rate
--- a/internal/memory/claim.go
+++ b/internal/memory/claim.go
@@ -13,8 +13,10 @@
 	// taken returns how many bytes the receiver has taken; nil if that is not known.
 	taken     func() int64
 	lastTaken int64
-	held      int64
-	progress  time.Time
+	// looked is when taken was last called.
+	looked   time.Time
+	held     int64
+	progress time.Time
 	// fixed is set once the transfer must not be aborted any more.
 	fixed, aborted bool
 	// settled is set once the bytes are there, and released once the claim can hold
@@ -74,9 +76,10 @@
 
 // updateProgress records that the receiver has taken bytes since the last look.
 func (c *Claim) updateProgress(now time.Time) {
-	if c.taken == nil || c.fixed {
+	if c.taken == nil || c.fixed || now.Sub(c.looked) < lookInterval {
 		return
 	}
+	c.looked = now
 	if n := c.taken(); n > c.lastTaken {
 		c.lastTaken, c.progress = n, now
 	}
@@ -120,13 +123,19 @@
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	v, _ := c.reserveLocked(time.Now(), n, 0)
-	if v == Granted || c.aborted || c.released {
+	now := time.Now()
+	free := b.used+n-c.held <= c.limit()
+	if free || now.Sub(b.searched) >= lookInterval { // else no other one has stalled since
+		if v, _ := c.reserveLocked(now, n, 0); v == Granted {
+			return true, nil
+		}
+		b.searched = now
+	}
+	if c.aborted || c.released {
 		return true, nil
 	}
-	freed = b.freed // of what others give back
 	c.addLocked(-c.held)
-	return false, freed
+	return false, b.freed
 }
 
 // ended returns ErrEnded if the claim has ended.
--- a/internal/sidecar/bodies.go
+++ b/internal/sidecar/bodies.go
@@ -192,7 +192,7 @@
 func (n *Node) holdBody(req *linkpb.CallRequest) (release func(), rejection *linkpb.CallReply) {
 	size := int64(len(req.Body))
 	if isUpload(req) {
-		size = uploadMemory
+		size = ingress.UploadMemory
 	}
 	if size <= freeCallBody {
 		return func() {}, nil
--- a/internal/sidecar/uploads.go
+++ b/internal/sidecar/uploads.go
@@ -11,10 +11,6 @@
 	"heathershed/internal/outcome"
 )
 
-// uploadMemory is what the body of a call from another node that is passed on as it arrives
-// takes of the memory, in bytes: its parts on their way.
-const uploadMemory = 1 << 20
-
 const (
 	// uploadDivisor gives the part of the upstream's slots that uploads may hold, one at
 	// least: a client that sends slowly keeps its slot meanwhile.
