--- a/cmd/heathershed-soak/main.go
+++ b/cmd/heathershed-soak/main.go
@@ -34,6 +34,7 @@
 	network := flag.String("net", "77.1", "second and third byte of the loopback addresses")
 	crash := flag.Bool("crash", false, "at the end, send a request that crashes upstreams")
 	workspaces := flag.Bool("workspaces", false, "clients present keys, some of them revoked or unknown; upstreams report their load")
+	crowd := flag.Bool("crowd", false, "each node also has clients that read slowly, stop in the middle of a body or exceed the limits")
 	plan := flag.Bool("plan", false, "print the faults too")
 	flag.Parse()
 	if flag.NArg() > 0 || *vms < 3 || *vms > 200 || *seeds < 1 || *clients < 1 {
@@ -45,7 +46,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	cfg := soak.Config{Bin: *bin, VMs: *vms, Clients: *clients, Length: *length, Net: *network, Crash: *crash, Workspaces: *workspaces}
+	cfg := soak.Config{Bin: *bin, VMs: *vms, Clients: *clients, Length: *length, Net: *network, Crash: *crash, Workspaces: *workspaces, Crowd: *crowd}
 	os.Exit(runAll(ctx, cfg, *seed, *seeds, *plan))
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -30,6 +30,9 @@
 	// Workspaces says that clients present keys, some of which are taken away or
 	// unknown, and that upstreams report their load, at times in invalid forms.
 	Workspaces bool
+	// Crowd says that each node also has clients that read slowly, stop in the middle of a
+	// body or exceed the limits.
+	Crowd bool
 	// Net is the second and third byte of the loopback addresses.
 	Net string
 }
@@ -183,6 +186,10 @@
 			}
 			wg.Go(func() { c.run(ctx) })
 		}
+		if r.cfg.Crowd {
+			c := &crowd{name: target.name + "-crowd", target: target, ledger: r.ledger, rng: rand.New(rand.NewPCG(r.cfg.Seed, uint64(1000*i+9)))}
+			wg.Go(func() { c.run(ctx) })
+		}
 	}
 }
 
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -37,11 +37,11 @@
 		t.Skip("starts processes")
 	}
 	bin := build(t)
-	runs := make([]Config, 0, len(regressions)+1)
+	runs := make([]Config, 0, len(regressions)+2)
 	for _, seed := range regressions {
 		runs = append(runs, Config{Seed: seed})
 	}
-	runs = append(runs, Config{Seed: regressions[0], Workspaces: true})
+	runs = append(runs, Config{Seed: regressions[0], Workspaces: true}, Config{Seed: regressions[1], Crowd: true})
 	for _, cfg := range runs {
 		seed := cfg.Seed
 		cfg.Bin, cfg.Dir, cfg.VMs, cfg.Clients, cfg.Length, cfg.Net = bin, t.TempDir(), 4, 2, 5*time.Second, testNet()
