--- a/internal/ingress/pipeline.go
+++ b/internal/ingress/pipeline.go
@@ -103,13 +103,6 @@
 	return newPipelinedConn(c, l.p), nil
 }
 
-// aheadKey is the context key of requests that run ahead.
-type aheadKey struct{}
-
-// RunsAhead reports whether a request runs before its answer is due, because it was
-// found idempotent. ctx is that of its handler.
-func RunsAhead(ctx context.Context) bool { return ctx.Value(aheadKey{}) != nil }
-
 // reserve takes n bytes of the memory if it has them.
 func (p *pipeline) reserve(n int) bool {
 	if p.memory.Add(int64(n)) > aheadMemory {
@@ -133,21 +126,6 @@
 	}
 }
 
-// aheadRequest is a request that runs before its answer is due.
-type aheadRequest struct {
-	rc     fasthttp.RequestCtx
-	size   int // as received, in bytes
-	cancel context.CancelFunc
-	// done is closed when the answer is ready.
-	done chan struct{}
-	// held is the memory of the request and its answer. Guarded by the connection.
-	held int
-	// expected is the part of held that is for the answer until it is ready.
-	expected int
-	// dropped says that the answer is not needed. Guarded by the connection.
-	dropped bool
-}
-
 // stage says which part of a request the server reads next.
 type stage uint8
 
@@ -237,30 +215,6 @@
 	c.finish(r, closes || rc.Response.ConnectionClose())
 }
 
-// handOver moves the answer of a request that has run ahead to the server's. A large one
-// waits for memory.
-func (p *pipeline) handOver(ctx context.Context, r *aheadRequest, rc *fasthttp.RequestCtx) {
-	from, to := &r.rc.Response, &rc.Response
-	body := from.Body()
-	from.Header.CopyTo(&to.Header)
-	to.SkipBody = from.SkipBody
-	if p.responses == nil || len(body) <= FreeAnswer {
-		to.SetBodyRaw(body)
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	room := p.responses.Claim(time.Now(), false, nil)
-	if err := room.Await(ctx, int64(len(body))); err != nil {
-		room.Release()
-		rc.Error("no memory was left for the answer", fasthttp.StatusBadGateway)
-		rc.SetConnectionClose()
-		return
-	}
-	room.Settle(int64(len(body)))
-	SetAnswer(rc, body, room)
-}
-
 // begin starts the serving of a request. It returns the request if it has run ahead.
 // Until finish, the connection is read and requests behind this one run ahead.
 func (c *pipelinedConn) begin(cancel context.CancelFunc, concurrent, closes bool) *aheadRequest {
@@ -370,89 +324,3 @@
 	c.changed.Broadcast()
 	return err
 }
-
-// runAheadLocked starts the requests behind the current one that may run beside it.
-func (c *pipelinedConn) runAheadLocked() {
-	for c.concurrent && !c.closing && !c.blocked && c.stage == stageServed && len(c.ahead) < maxAheadRequests &&
-		c.held < maxHeldBytes && !c.p.draining.Load() {
-		data := c.buf[c.start+c.aheadSize : c.end]
-		if len(data) == 0 {
-			return
-		}
-		r := &aheadRequest{done: make(chan struct{})}
-		size, state := readRequest(data, c.p.headBytes, &r.rc.Request)
-		if state == incomplete {
-			return
-		}
-		if state == invalid || !c.p.idempotent(&r.rc.Request) {
-			c.blocked = true
-			return
-		}
-		expected := int(c.p.answerSize(&r.rc.Request))
-		cost := requestCost + size + expected
-		if !c.p.reserve(cost) {
-			return
-		}
-		if c.p.running.Add(1) > maxAheadRunning {
-			c.p.running.Add(-1)
-			c.p.memory.Add(-int64(cost))
-			return
-		}
-		r.size, r.held, r.expected = size, cost, expected
-		c.held += cost
-		c.ahead = append(c.ahead, r)
-		c.aheadSize += size
-		c.blocked = r.rc.Request.Header.ConnectionClose() // nothing behind it is read
-		c.startLocked(r)
-	}
-}
-
-// startLocked starts a request.
-func (c *pipelinedConn) startLocked(r *aheadRequest) {
-	c.p.started.Add(1)
-	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), aheadKey{}, true))
-	r.cancel = cancel
-	const reduceMemory = true // as the server
-	r.rc.Init2(c, discardLog{}, reduceMemory)
-	c.p.template.CopyTo(&r.rc.Response)
-	go func() {
-		defer c.p.running.Add(-1)
-		defer cancel()
-		c.p.handle(ctx, &r.rc)
-		c.ready(r)
-		close(r.done)
-	}()
-}
-
-// ready records that the answer of a request is ready. If it closes the connection,
-// the requests behind it are dropped.
-func (c *pipelinedConn) ready(r *aheadRequest) {
-	size, closes := len(r.rc.Response.Body()), r.rc.Response.ConnectionClose()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if r.dropped {
-		return
-	}
-	more := size - r.expected
-	r.held += more
-	c.held += more
-	c.p.memory.Add(int64(more))
-	if !closes {
-		return
-	}
-	c.closing = true
-	for i, other := range c.ahead {
-		if other == r {
-			c.dropLocked(i + 1)
-			return
-		}
-	}
-	c.dropLocked(0) // it is the current one
-}
-
-// discardLog is the logger of requests that run ahead. Their handlers log by
-// themselves.
-type discardLog struct{}
-
-// Printf implements fasthttp.Logger.
-func (discardLog) Printf(string, ...any) {}
--- a/internal/sidecar/answers.go
+++ b/internal/sidecar/answers.go
@@ -19,11 +19,11 @@
 // waits for room: beside the upstream, until the client's node fetches it.
 
 const (
-	// roomWait bounds the wait for memory that an aborted transfer releases.
-	roomWait = 100 * time.Millisecond
 	// freeLinkAnswer is the size in bytes up to which an answer is sent over a link at
 	// once. It must then wait for room at the node of the client.
 	freeLinkAnswer = 64 << 10
+	// roomMargin is how much larger than expected an answer may be that is sent at once.
+	roomMargin = 2
 )
 
 // reserveRoom reserves memory for the answer of a call until c.releaseRoom, as far as the
@@ -33,7 +33,7 @@
 func (n *Node) reserveRoom(now time.Time, c *call) *linkpb.CallReply {
 	c.room = n.budgets.responses.Claim(now, !c.route.Idempotent, nil)
 	expected := n.answerSizes.Expected(c.route.Name)
-	if expected <= ingress.FreeAnswer || c.room.Acquire(expected, roomWait) || n.budgets.responses.MostlyFree() {
+	if expected <= ingress.FreeAnswer || c.room.Acquire(expected, abortWait) || n.budgets.responses.MostlyFree() {
 		return nil
 	}
 	return outcome.RetryAfterReply(c.room.RoomIn(now, expected), contract.ReasonOverload, "no memory is left for the answer")
@@ -53,9 +53,6 @@
 	return link.WithRoom(ctx, c.awaitRoom)
 }
 
-// roomMargin is how much larger than expected an answer may be that is sent at once.
-const roomMargin = 2
-
 // answerRoom returns the size in bytes of an answer that may be sent at once.
 func (c *call) answerRoom() uint64 {
 	if c.room == nil {
--- a/internal/sidecar/bodies_test.go
+++ b/internal/sidecar/bodies_test.go
@@ -52,7 +52,7 @@
 func TestBodiesOfCallsFromOtherNodesAreBounded(t *testing.T) {
 	_, near, _ := startPair(t)
 	call := func(idempotent bool) *linkpb.CallRequest {
-		return &linkpb.CallRequest{Idempotent: idempotent, Body: make([]byte, minBodyMemory/4)}
+		return &linkpb.CallRequest{Idempotent: idempotent, Body: make([]byte, minBudget/4)}
 	}
 	var releases []func()
 	for range 3 {
