crowd: the node that stops is measured until it is gone, and must say that it stopped

The check ended with the signal: memory taken while the node stops was not seen, nor was a process that crashed then. Stricter: usage is read to the end, and the log must have its last line. Crowd and bound stay.

--- a/internal/crowd/together_test.go
+++ b/internal/crowd/together_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -67,11 +69,15 @@
 	})
 	time.Sleep(time.Second)
 	n.check(number * len(everyKind()))
-	n.usage.end()
+	n.usage.expectEnd()
 	n.process.Signal(syscall.SIGTERM)
 	if !n.process.Wait(waitTimeout) {
 		t.Error("the process has not stopped")
 	}
+	if text, err := os.ReadFile(n.log); err != nil || !strings.Contains(string(text), `"msg":"stopped"`) {
+		t.Errorf("the process has ended without stopping, %v", err)
+	}
+	n.check(number * len(everyKind()))
 	crowd.Wait()
 	other := f.nodes[1]
 	waitFor(t, "the other node serves", func() bool { return other.request("GET", "/b/", nil) == nil })
--- a/internal/crowd/usage_test.go
+++ b/internal/crowd/usage_test.go
@@ -23,7 +23,8 @@
 	resident, queued, total int64
 	descriptors             int
 	err                     error
-	ended                   bool
+	// mayEnd says that the process was told to stop, so that it may be gone.
+	mayEnd bool
 }
 
 func newUsage(pid int) *usage { return &usage{pid: pid} }
@@ -40,11 +41,11 @@
 	}
 }
 
-// end ends the reading, as the process is told to stop.
-func (u *usage) end() {
+// expectEnd says that the process may be gone from now on.
+func (u *usage) expectEnd() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.ended = true
+	u.mayEnd = true
 }
 
 // sample reads the usage once.
@@ -54,11 +55,8 @@
 	queued := queuedBytes(sockets)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.ended {
-		return
-	}
 	for _, e := range []error{err, fdErr} {
-		if u.err == nil {
+		if u.err == nil && !u.mayEnd {
 			u.err = e
 		}
 	}
