The expected size of answers has an age and an end, and rejections tell it

A node kept the mean size of a route's answers for good, and a request that it rejected was told 'no memory is left' without what decided that.

--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -93,6 +93,14 @@
 	return b.settled+b.awaited < b.size/2
 }
 
+// Usage returns the bytes that are there, those that are reserved besides, and the size of
+// the budget.
+func (b *Budget) Usage() (settled, reserved, size int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.settled, b.used - b.settled, b.size
+}
+
 // awaitsRelease reports whether an aborted transfer still holds memory.
 func (b *Budget) awaitsRelease() bool {
 	for c := range b.claims {
--- a/internal/sidecar/answers.go
+++ b/internal/sidecar/answers.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
 	"heathershed/internal/ingress"
 	"heathershed/internal/link"
+	"heathershed/internal/memory"
 	"heathershed/internal/outcome"
 )
 
@@ -32,11 +35,19 @@
 // for a short time only.
 func (n *Node) reserveRoom(now time.Time, c *call) *linkpb.CallReply {
 	c.room = n.budgets.responses.Claim(now, !c.route.Idempotent, nil)
-	expected := n.answerSizes.Expected(c.route.Name)
-	if expected <= ingress.FreeAnswer || c.room.Acquire(expected, abortWait) || n.budgets.responses.MostlyFree() {
+	expected := n.answerSizes.Expected(now, c.route.Name)
+	if expected.Bytes <= ingress.FreeAnswer || c.room.Acquire(expected.Bytes, abortWait) || n.budgets.responses.MostlyFree() {
 		return nil
 	}
-	return outcome.RetryAfterReply(c.room.RoomIn(now, expected), contract.ReasonOverload, "no memory is left for the answer")
+	settled, reserved, size := n.budgets.responses.Usage()
+	detail := fmt.Sprintf("%s; answers to clients hold %d KiB and %d KiB are reserved of %d",
+		noAnswerMemory(expected), settled>>10, reserved>>10, size>>10)
+	return outcome.RetryAfterReply(c.room.RoomIn(now, expected.Bytes), contract.ReasonOverload, detail)
+}
+
+// noAnswerMemory tells for which expectation a request is rejected.
+func noAnswerMemory(expected memory.Expectation) string {
+	return fmt.Sprintf("no memory is left for the answer: %d KiB are expected, learnt %d ms ago", expected.Bytes>>10, expected.Age.Milliseconds())
 }
 
 // awaitRoom waits until there is memory for an answer of n bytes to a call.
@@ -68,13 +79,13 @@
 		return reply
 	}
 	size := int64(len(reply.Body))
-	n.answerSizes.Observe(c.route.Name, size)
+	n.answerSizes.Observe(time.Now(), c.route.Name, size)
 	if ingress.RunsAhead(ctx) { // the ingress reserves memory when the answer is due
 		c.room.Release()
 		return reply
 	}
 	if err := c.awaitRoom(ctx, size); err != nil {
-		return outcome.Reply(contract.MayHaveRun, contract.ReasonDeadline, "no memory was left for the answer")
+		return lostAnswer(err, size)
 	}
 	if size <= ingress.FreeAnswer {
 		c.room.Release()
@@ -84,6 +95,16 @@
 	return reply
 }
 
+// lostAnswer returns the reply to a call that has run and whose answer of size bytes has
+// found no memory.
+func lostAnswer(err error, size int64) *linkpb.CallReply {
+	reason := contract.ReasonDeadline
+	if errors.Is(err, context.Canceled) {
+		reason = contract.ReasonCancelled
+	}
+	return outcome.Reply(contract.MayHaveRun, reason, fmt.Sprintf("no memory was left for the answer of %d KiB", size>>10))
+}
+
 // setBody makes the body of a reply that of the answer. A large one keeps its room until
 // it is written.
 func (c *call) setBody(rc *fasthttp.RequestCtx, body []byte) {
@@ -108,16 +129,17 @@
 	if !ok {
 		return 0
 	}
-	return n.answerSizes.Expected(route.Name)
+	return n.answerSizes.Expected(time.Now(), route.Name).Bytes
 }
 
 // reserveAnswer reserves memory for the answer that the local upstream will give to a
 // call. The returned reply rejects the call if there is none.
 func (n *Node) reserveAnswer(ctx context.Context, req *linkpb.CallRequest) *linkpb.CallReply {
-	room, ok := n.upstream.Reserve(ctx, n.answerSizes.Expected(req.Kind))
+	expected := n.answerSizes.Expected(time.Now(), req.Kind)
+	room, ok := n.upstream.Reserve(ctx, expected.Bytes)
 	if ok {
 		return nil
 	}
 	n.metrics.countRejected(contract.ReasonOverload)
-	return outcome.RetryAfterReply(room, contract.ReasonOverload, "no memory is left for the answer")
+	return outcome.RetryAfterReply(room, contract.ReasonOverload, noAnswerMemory(expected)+", beside its upstream")
 }
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -179,7 +179,7 @@
 	}
 	reply := outcome.UpstreamReply(out, answer, platform.ForwardsResponseHeader)
 	if outcome.Ran(reply) {
-		n.answerSizes.Observe(req.Kind, int64(len(reply.Body)))
+		n.answerSizes.Observe(time.Now(), req.Kind, int64(len(reply.Body)))
 	}
 	n.observeCrash(ctx, req, state, alone, out, reply)
 	return reply
--- a/internal/sidecar/uploads.go
+++ b/internal/sidecar/uploads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	linkpb "heathershed/api/link"
@@ -29,7 +30,7 @@
 	if n.uploads.Add(1) > int64(most) {
 		n.uploads.Add(-1)
 		n.metrics.countRejected(contract.ReasonOverload)
-		return nil, outcome.RetryAfterReply(uploadRetryAfter, contract.ReasonOverload, "other large bodies are sent to the upstream")
+		return nil, outcome.RetryAfterReply(uploadRetryAfter, contract.ReasonOverload, fmt.Sprintf("%d other large bodies are sent to the upstream, as many as may be", most))
 	}
 	return func() { n.uploads.Add(-1) }, nil
 }
