--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -43,11 +43,20 @@
 	guard *guard
 }
 
-// BoundConns bounds the open connections of a listener. At the bound the connection without
-// an answer for the longest time is closed.
-func BoundConns(l net.Listener, most int) net.Listener {
+// BoundedListener is a listener whose open connections are bounded. At the bound the
+// connection without an answer for the longest time is closed.
+type BoundedListener struct{ guardedListener }
+
+// BoundConns bounds the open connections of a listener.
+func BoundConns(l net.Listener, most int) BoundedListener {
 	const smallQueues = false // no large answers are written in pieces
-	return guardedListener{l, newGuard(most, smallQueues)}
+	return BoundedListener{guardedListener{l, newGuard(most, smallQueues)}}
+}
+
+// Closed returns the number of connections that were closed at the bound since the start.
+func (l BoundedListener) Closed() int64 {
+	_, closed := l.guard.stats()
+	return closed
 }
 
 // Accept implements net.Listener. At the bound it closes the connection that has been
--- a/internal/ingress/linger.go
+++ b/internal/ingress/linger.go
@@ -23,9 +23,10 @@
 	lingerBuffer = 16 << 10
 )
 
-// lingering counts the connections whose rest is being read.
+// lingering counts the connections whose rest is being read, and those since the start
+// that were closed without, as there were too many.
 type lingering struct {
-	open atomic.Int64
+	open, skipped atomic.Int64
 	// request returns the bytes that one request may take; nil if that is not bounded.
 	request func() int64
 }
@@ -51,6 +52,7 @@
 func (l *lingering) start(c net.Conn, end func()) bool {
 	if l.open.Add(1) > maxLingering {
 		l.open.Add(-1)
+		l.skipped.Add(1)
 		return false
 	}
 	go func() {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -202,6 +202,10 @@
 // since the start because there were too many.
 func (s *Server) Connections() (open int, closed int64) { return s.guard.stats() }
 
+// UnreadRefusals returns the number of refused connections since the start that were closed
+// without reading the rest of what their clients sent, as too many others were read.
+func (s *Server) UnreadRefusals() int64 { return s.guard.lingering.skipped.Load() }
+
 // ReadAheadBytes returns the memory of read-ahead buffers, of requests that run before
 // their answers are due, and of answers that wait for their turn.
 func (s *Server) ReadAheadBytes() int64 {
--- a/internal/link/held.go
+++ b/internal/link/held.go
@@ -19,6 +19,8 @@
 	mu     sync.Mutex
 	last   uint64
 	bodies map[uint64]*heldBody
+	// expired counts those that were dropped at the deadline, since the start.
+	expired int64
 }
 
 // heldBody is one body. release gives back its memory, and timer drops it.
@@ -39,15 +41,26 @@
 	defer h.mu.Unlock()
 	h.last++
 	id := h.last
-	h.bodies[id] = &heldBody{body: body, release: release, timer: time.AfterFunc(within, func() { h.discard(id) })}
+	h.bodies[id] = &heldBody{body: body, release: release, timer: time.AfterFunc(within, func() { h.expire(id) })}
 	return id
 }
 
-// count returns the number of bodies.
-func (h *heldBodies) count() int {
+// stats returns the number of bodies, and of those that were dropped at the deadline since
+// the start.
+func (h *heldBodies) stats() (held int, expired int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return len(h.bodies)
+	return len(h.bodies), h.expired
+}
+
+// expire drops a body at the deadline of its call.
+func (h *heldBodies) expire(id uint64) {
+	if !h.discard(id) {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.expired++
 }
 
 // take removes a body. It returns nil if there is none of that id.
@@ -62,11 +75,14 @@
 	return b
 }
 
-// discard removes a body that is not needed.
-func (h *heldBodies) discard(id uint64) {
-	if b := h.take(id); b != nil {
-		b.release()
+// discard removes a body that is not needed and reports whether it was there.
+func (h *heldBodies) discard(id uint64) bool {
+	b := h.take(id)
+	if b == nil {
+		return false
 	}
+	b.release()
+	return true
 }
 
 // holdBody takes the body out of a reply whose caller has no room for it.
@@ -79,8 +95,9 @@
 	return true
 }
 
-// HeldBodies returns the number of bodies of answers that their callers have yet to fetch.
-func (s *Server) HeldBodies() int { return s.held.count() }
+// HeldBodies returns the number of bodies of answers that their callers have yet to fetch,
+// and of those that were not fetched by the deadline since the start.
+func (s *Server) HeldBodies() (held int, expired int64) { return s.held.stats() }
 
 // Fetch implements linkpb.LinkServer.
 func (s *Server) Fetch(ctx context.Context, req *linkpb.FetchRequest) (*linkpb.FetchReply, error) {
--- a/internal/sidecar/memory.go
+++ b/internal/sidecar/memory.go
@@ -45,12 +45,25 @@
 }
 
 // memoryGauges are the metrics of the memory that requests and responses hold, and of
-// clients' connections. Those that end in Seen are the totals reported before.
+// connections.
 type memoryGauges struct {
-	bodies, responses, connections            tally.Gauge
-	answersHeld, uploads                      tally.Gauge
-	aborted, refused, connsClosed             tally.Counter
-	abortedSeen, refusedSeen, connsClosedSeen int64
+	bodies, responses, connections tally.Gauge
+	answersHeld, uploads           tally.Gauge
+
+	aborted, refused, connsClosed              totalCounter
+	answersExpired, otherClosed, unreadRefused totalCounter
+}
+
+// totalCounter is a counter that is set to totals since the start.
+type totalCounter struct {
+	tally.Counter
+	reported int64
+}
+
+// set raises the counter to a total.
+func (c *totalCounter) set(total int64) {
+	c.Inc(total - c.reported)
+	c.reported = total
 }
 
 func newMemoryGauges(scope tally.Scope) *memoryGauges {
@@ -60,9 +73,13 @@
 		connections: scope.Gauge("client_connections"),
 		answersHeld: scope.Gauge("answers_held"),
 		uploads:     scope.Gauge("uploads_running"),
-		aborted:     scope.Counter("transfers_aborted"),
-		refused:     scope.Counter("transfers_refused"),
-		connsClosed: scope.Counter("client_connections_closed"),
+
+		aborted:        totalCounter{Counter: scope.Counter("transfers_aborted")},
+		refused:        totalCounter{Counter: scope.Counter("transfers_refused")},
+		connsClosed:    totalCounter{Counter: scope.Counter("client_connections_closed")},
+		answersExpired: totalCounter{Counter: scope.Counter("answers_expired")},
+		otherClosed:    totalCounter{Counter: scope.Counter("other_connections_closed")},
+		unreadRefused:  totalCounter{Counter: scope.Counter("refusals_unread")},
 	}
 }
 
@@ -72,18 +89,22 @@
 	bodies, bodiesAborted, bodiesRefused := n.budgets.bodies.Stats()
 	responses, responsesAborted, responsesRefused := n.budgets.responses.Stats()
 	open, closed := n.ingress.Connections()
+	held, expired := n.linkServer.HeldBodies()
 	m.bodies.Update(float64(bodies))
 	m.responses.Update(float64(responses))
 	m.connections.Update(float64(open))
-	m.answersHeld.Update(float64(n.linkServer.HeldBodies()))
+	m.answersHeld.Update(float64(held))
 	m.uploads.Update(float64(n.uploads.Load()))
-	add := func(c tally.Counter, seen *int64, total int64) {
-		c.Inc(total - *seen)
-		*seen = total
+	m.aborted.set(bodiesAborted + responsesAborted)
+	m.refused.set(bodiesRefused + responsesRefused)
+	m.connsClosed.set(closed)
+	m.answersExpired.set(expired)
+	m.unreadRefused.set(n.ingress.UnreadRefusals())
+	total := int64(0)
+	for _, l := range n.otherListeners {
+		total += l.Closed()
 	}
-	add(m.aborted, &m.abortedSeen, bodiesAborted+responsesAborted)
-	add(m.refused, &m.refusedSeen, bodiesRefused+responsesRefused)
-	add(m.connsClosed, &m.connsClosedSeen, closed)
+	m.otherClosed.set(total)
 }
 
 // maxClientConns returns the bound on the connections of clients, for a process that
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -133,9 +133,11 @@
 	ready         *fasthttp.Server
 	heartbeats    *fasthttp.Server
 	metricsServer *http.Server
-	linkServer    *link.Server
-	links         *link.Set
-	traffic       link.Traffic
+	// otherListeners are those of the three servers above. They are set by Run.
+	otherListeners []ingress.BoundedListener
+	linkServer     *link.Server
+	links          *link.Set
+	traffic        link.Traffic
 
 	// recordChanged is sent when the local record may have changed.
 	recordChanged wait.Signal
@@ -237,7 +239,7 @@
 
 // boundPlatform bounds the connections of the platform's own requests and the bytes of each
 // request.
-func boundPlatform(l net.Listener) net.Listener {
+func boundPlatform(l net.Listener) ingress.BoundedListener {
 	return ingress.BoundConns(endpoint.Bounded(l, platformRequest), maxPlatformConns)
 }
 
@@ -257,12 +259,14 @@
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, running := errgroup.WithContext(running)
+	ready, heartbeats, scrapers := boundPlatform(l.ready), boundPlatform(l.heartbeats), ingress.BoundConns(l.metrics, maxScrapers)
+	n.otherListeners = []ingress.BoundedListener{ready, heartbeats, scrapers}
 	n.links = link.NewSet(running, group, n, &n.traffic, endpoint.Dial)
 	group.Go(func() error { return n.ingress.Serve(l.clients) })
 	group.Go(func() error { return n.linkServer.Serve(l.link) })
-	group.Go(func() error { return n.ready.Serve(boundPlatform(l.ready)) })
-	group.Go(func() error { return n.heartbeats.Serve(boundPlatform(l.heartbeats)) })
-	group.Go(func() error { return n.serveMetrics(ingress.BoundConns(l.metrics, maxScrapers)) })
+	group.Go(func() error { return n.ready.Serve(ready) })
+	group.Go(func() error { return n.heartbeats.Serve(heartbeats) })
+	group.Go(func() error { return n.serveMetrics(scrapers) })
 	group.Go(func() error { return n.runWatch(running) })
 	group.Go(func() error { return n.runFreshness(running) })
 	group.Go(func() error { return n.peers.runLinks(running) })
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -82,7 +82,7 @@
 func (n *Node) awaitIdle(ctx context.Context, plan stopPlan) {
 	idleSince := time.Now()
 	for time.Now().Before(plan.end) && ctx.Err() == nil {
-		if n.inFlight.Load() > 0 || n.linkServer.HeldBodies() > 0 {
+		if held, _ := n.linkServer.HeldBodies(); n.inFlight.Load() > 0 || held > 0 {
 			idleSince = time.Now()
 		}
 		if time.Now().After(plan.noticed) && time.Since(idleSince) > minIdle {
