--- a/internal/crowd/usage_test.go
+++ b/internal/crowd/usage_test.go
@@ -52,10 +52,10 @@
 func (u *usage) sample() {
 	peak, now, err := residentMemory(u.pid)
 	sockets, descriptors, fdErr := openSockets(u.pid)
-	queued := queuedBytes(sockets)
+	queued, queueErr := queuedBytes(sockets)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for _, e := range []error{err, fdErr} {
+	for _, e := range []error{err, fdErr, queueErr} {
 		if u.err == nil && !u.mayEnd {
 			u.err = e
 		}
@@ -109,10 +109,10 @@
 
 // queuedBytes returns the bytes that the kernel holds for sockets: received and not yet
 // read, or written and not yet acknowledged.
-func queuedBytes(inodes map[string]bool) int64 {
+func queuedBytes(inodes map[string]bool) (int64, error) {
 	text, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
-		return 0
+		return 0, err
 	}
 	const queues, inode, listening = 4, 9, "0A"
 	var total int64
@@ -123,11 +123,14 @@
 		}
 		sent, received, _ := strings.Cut(f[queues], ":")
 		for _, hex := range []string{sent, received} {
-			n, _ := strconv.ParseInt(hex, 16, 64)
+			n, err := strconv.ParseInt(hex, 16, 64)
+			if err != nil {
+				return 0, err
+			}
 			total += n
 		}
 	}
-	return total
+	return total, nil
 }
 
 // check reports an error if the process has ended or its usage is over a bound.
