--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -121,7 +121,8 @@
 }
 
 // releaseWhenTaken waits until the client has taken the answer, or the connection is
-// closed.
+// closed. The server's idle timeout closes one whose client neither reads nor sends, and
+// writeTimeout one whose client sends without reading.
 func (a *answer) releaseWhenTaken() {
 	ticker := time.NewTicker(takenPoll)
 	defer ticker.Stop()
--- a/internal/link/codec.go
+++ b/internal/link/codec.go
@@ -94,7 +94,7 @@
 		return c.marshalWhole(v)
 	}
 	sent := func() {}
-	if fn, ok := c.waiting.LoadAndDelete(v); ok { // registered for larger bodies only
+	if fn, ok := c.waiting.LoadAndDelete(v); ok { // only bodies over smallBody have one
 		sent = fn.(func())
 	}
 	body := *f.body
