A heartbeat says nothing of the VM's service, and starts are ordered by their time

Cause: a fact about an instance was overwritten by whoever spoke last. The tracker took the service from the heartbeat, any other id at the address counted as a later start whatever time of start it named, and the displaced instance was ignored for good. Ruled out: the configuration, which never named the service, and the record in the store, which repeated the tracker.

On TestHeartbeatOfAnotherServiceDoesNotChangeTheCaller (5 of 5 orders under "unnamed"), TestUpstreamSaysWhichInstanceItIs (not served within 10 s) and TestLateDeregistrationDoesNotEndALaterStart fail.

Why the fix works: docs/design/instances.md has the owner, order, age and end of each fact. The settings own service and address: other heartbeats get 400 and change nothing. Starts are ordered by the time that they name; what that does not order is disputed, answered 503, and the upstream is asked by a health check which instance it is. A claim that nothing contradicts for 5 s is taken, so a wrong clock silences nobody for good.

Tests that changed: a late heartbeat of a replaced instance is now disputed (no 2xx) where it was ignored, one of another address refused; the state that the tests check is the same. TestUpstreamReplacedAtSameAddress expected that a VM changes its service by a heartbeat, which is this fault; it now checks a next instance of the service.

--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -14,7 +14,7 @@
 // fields for keys, ranges and defaults.
 type Sidecar struct {
 	// VM names the VM, Datacentre and Region its location, and Service the
-	// service of its upstream at the start.
+	// service of its upstream.
 	VM, Datacentre, Region, Service string
 	// Clients, Link, Ready, Heartbeats and Metrics are listening addresses,
 	// ip:port: for clients and the local upstream, for other nodes, for
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"heathershed/internal/vm/instance"
@@ -37,18 +38,17 @@
 }
 
 // serveHeartbeat handles heartbeats and deregistrations of the upstream beside
-// this node. That the upstream leaves is stored before it is acknowledged.
+// this node. That the upstream leaves is stored before it is acknowledged. A message
+// that can't be of this upstream gets 400, one of an instance that nothing confirms yet
+// 503.
 func (n *Node) serveHeartbeat(rc *fasthttp.RequestCtx) {
 	path := string(rc.Path())
 	if !rc.IsPost() {
 		rc.Error("want POST", fasthttp.StatusMethodNotAllowed)
 		return
 	}
-	rc.SetContentType("application/json")
 	if id, ok := platform.DeregisterID(path); ok {
-		n.target.update("deregister", func(tr *instance.Tracker) instance.Change { return tr.Deregister(id) })
-		n.awaitLeavingStored(id)
-		rc.SetBodyString("{}")
+		n.serveDeregistration(rc, id)
 		return
 	}
 	id, ok := platform.HeartbeatID(path)
@@ -58,11 +58,43 @@
 	}
 	heartbeat, err := platform.DecodeHeartbeat(id, rc.PostBody())
 	if err != nil {
-		n.log.Warn("heartbeat refused", "instance", id, "err", err)
-		rc.Error(err.Error(), fasthttp.StatusBadRequest)
+		n.refuseMessage(rc, id, err)
 		return
 	}
-	n.target.update("heartbeat", func(tr *instance.Tracker) instance.Change { return tr.HandleHeartbeat(time.Now(), heartbeat) })
+	change := n.target.update("heartbeat", func(tr *instance.Tracker) instance.Change { return tr.HandleHeartbeat(time.Now(), heartbeat) })
+	switch change {
+	case instance.Refused:
+		n.refuseMessage(rc, id, errors.Newf("not of this upstream: service %.40q, address %.40q, seq %d", heartbeat.Service, heartbeat.Address, heartbeat.Seq))
+	case instance.Disputed:
+		n.metrics.beatsDisputed.Inc(1)
+		n.log.Warn("heartbeat disputed", "instance", id, "born", heartbeat.Born, "current", n.target.state().ID)
+		rc.Error("another instance is known here", fasthttp.StatusServiceUnavailable)
+	default:
+		n.acknowledge(rc, id)
+	}
+}
+
+func (n *Node) serveDeregistration(rc *fasthttp.RequestCtx, id string) {
+	d, err := platform.DecodeDeregistration(id, rc.PostBody())
+	if err != nil {
+		n.refuseMessage(rc, id, err)
+		return
+	}
+	n.target.update("deregister", func(tr *instance.Tracker) instance.Change { return tr.Deregister(d) })
+	n.acknowledge(rc, id)
+}
+
+// acknowledge answers a message of the upstream once the object API holds that the
+// instance leaves, if it does.
+func (n *Node) acknowledge(rc *fasthttp.RequestCtx, id string) {
 	n.awaitLeavingStored(id)
+	rc.SetContentType("application/json")
 	rc.SetBodyString("{}")
 }
+
+// refuseMessage answers a message that can't be of the upstream.
+func (n *Node) refuseMessage(rc *fasthttp.RequestCtx, id string, err error) {
+	n.metrics.beatsRefused.Inc(1)
+	n.log.Warn("heartbeat refused", "instance", id, "err", err)
+	rc.Error(err.Error(), fasthttp.StatusBadRequest)
+}
--- a/internal/sidecar/leaving.go
+++ b/internal/sidecar/leaving.go
@@ -11,6 +11,7 @@
 	"heathershed/internal/contract"
 	"heathershed/internal/upstream"
 	"heathershed/internal/vm/instance"
+	"heathershed/internal/wait"
 	"heathershed/platform"
 )
 
@@ -26,8 +27,10 @@
 	// healthTimeout bounds a health check, maxHealthBody its answer in bytes.
 	healthTimeout = time.Second
 	maxHealthBody = 4 << 10
-	// maxHealthChecks bounds the health checks after one reading of the local record.
+	// maxHealthChecks bounds the health checks after one reading of the local record, or
+	// after claims of another instance; healthPause is between two such rows.
 	maxHealthChecks = 3
+	healthPause     = 500 * time.Millisecond
 )
 
 // storedInstance is what the object API holds of the local upstream.
@@ -76,30 +79,32 @@
 }
 
 // runHealthChecks is the task that asks an expected instance whether it takes
-// requests, so that its next heartbeat need not be awaited.
+// requests, so that its next heartbeat need not be awaited, and the upstream which of
+// two instances it is.
 func (n *Node) runHealthChecks(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if n.checkDue.Wait(ctx, listInterval) {
-			n.confirmExpected(ctx)
+			n.confirmInstance(ctx)
+			_ = wait.For(ctx, healthPause)
 		}
 	}
 	return nil
 }
 
-// confirmExpected sends health checks until the expected instance is confirmed or
-// replaced, at most maxHealthChecks. Later only a heartbeat confirms it.
-func (n *Node) confirmExpected(ctx context.Context) {
+// confirmInstance sends health checks until the expected or disputed instance is
+// confirmed or replaced, at most maxHealthChecks. Later only a heartbeat confirms it.
+func (n *Node) confirmInstance(ctx context.Context) {
 	checks := 0
 	newBackoff().Retry(ctx, func() bool {
 		state, table := n.target.state(), n.table.Load()
-		if !state.Unconfirmed() || checks == maxHealthChecks {
+		if !state.Unconfirmed() && !state.Disputed() || checks == maxHealthChecks {
 			return true
 		}
 		if table == nil {
 			return false
 		}
 		checks++
-		path := table.Service(state.Service).HealthPath
+		path := table.Service(n.cfg.Service).HealthPath
 		return path == "" || n.checkHealth(ctx, path)
 	})
 }
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -44,6 +44,8 @@
 	quota         [numQuotaOutcomes]tally.Counter
 	quotaAsks     tally.Counter
 	invalidLoads  tally.Counter
+	beatsRefused  tally.Counter
+	beatsDisputed tally.Counter
 
 	memory *memoryGauges
 	ahead  tally.Counter
@@ -72,6 +74,8 @@
 		unserved:      scope.Counter("services_without_upstream"),
 		quotaAsks:     scope.Counter("quota_questions"),
 		invalidLoads:  scope.Counter("upstream_loads_ignored"),
+		beatsRefused:  scope.Counter("heartbeats_refused"),
+		beatsDisputed: scope.Counter("heartbeats_disputed"),
 		memory:        newMemoryGauges(scope),
 		ahead:         scope.Counter("requests_run_ahead"),
 		readAhead:     scope.Gauge("read_ahead_bytes"),
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -153,10 +153,12 @@
 }
 
 // desired returns the record as it should be stored. Until the first
-// heartbeat, the upstream of the stored record is assumed.
+// heartbeat, the upstream of the stored record is assumed if that is of this service.
 func (d *recordTask) desired() record {
 	r := record{VM: d.n.cfg.VM, Datacentre: d.n.cfg.Datacentre, Address: d.n.cfg.Announce}
-	r.setInstance(d.written.stored())
+	if d.written.Service == d.n.cfg.Service {
+		r.setInstance(d.written.stored())
+	}
 	if state := d.n.target.state(); state.ID != "" {
 		r.setInstance(state.Stored())
 	}
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -31,7 +31,7 @@
 }
 
 func newTarget(n *Node) *target {
-	return &target{n: n, tracker: instance.NewTracker(n.cfg.Upstream), sequence: 1}
+	return &target{n: n, tracker: instance.NewTracker(n.cfg.Upstream, n.cfg.Service), sequence: 1}
 }
 
 // state returns the current state of the upstream.
@@ -41,34 +41,32 @@
 	return t.tracker.State()
 }
 
-// service returns the service that runs on this VM: that of the current
-// instance, or the configured one before any is known.
-func (t *target) service() string {
-	if s := t.state().Service; s != "" {
-		return s
-	}
-	return t.n.cfg.Service
-}
+// service returns the service of this VM, which its settings name.
+func (t *target) service() string { return t.n.cfg.Service }
 
 // update applies a message about the upstream to the tracker and propagates
-// the change. A message that brings nothing new is dropped; one that the
-// tracker ignores is only logged. source names the kind of message in the log.
-func (t *target) update(source string, apply func(*instance.Tracker) instance.Change) {
+// the change, which it returns. A message that brings nothing new is dropped; one that
+// the tracker ignores is only logged. source names the kind of message in the log.
+func (t *target) update(source string, apply func(*instance.Tracker) instance.Change) instance.Change {
 	t.applyMu.Lock()
 	defer t.applyMu.Unlock()
 	t.mu.Lock()
 	old := t.tracker.State()
 	change := apply(t.tracker)
 	state := t.tracker.State()
-	if change != instance.Same && change != instance.Ignored && change != instance.Limited {
+	if changesState(change) {
 		t.sequence++
 	}
 	if state.Notice != old.Notice {
 		t.notices++
 	}
 	t.mu.Unlock()
-	if change == instance.Same {
-		return
+	switch change {
+	case instance.Same, instance.Refused:
+		return change
+	case instance.Disputed:
+		t.n.checkDue.Send()
+		return change
 	}
 	if old.ID != state.ID {
 		t.n.blameLostRuns(old)
@@ -76,13 +74,23 @@
 	t.n.log.Info("upstream", "by", source, "change", change.String(), "instance", state.ID,
 		"service", state.Service, "slots", state.Slots, "ready", state.Ready, "expected", state.Expected,
 		"limit", limitText(state.Notice), "named_ms", age(old.LimitAt).Milliseconds(), "said_leaving", state.Notice.Leaving)
-	switch change {
-	case instance.Ignored:
-	case instance.Limited:
+	switch {
+	case change == instance.Limited:
 		t.propagateLimit(old.Notice, state.Notice)
-	default:
+	case changesState(change):
 		t.propagate(state, change)
 	}
+	return change
+}
+
+// changesState reports whether a change is one of the State that nodes tell each other.
+func changesState(c instance.Change) bool {
+	switch c {
+	case instance.Started, instance.Returned, instance.Leaving, instance.Lost:
+		return true
+	default:
+		return false
+	}
 }
 
 // propagateLimit puts the limit of the upstream in force. Its begin and its end
--- a/internal/vm/instance/instance.go
+++ b/internal/vm/instance/instance.go
@@ -1,50 +1,32 @@
 // Package instance tracks the upstream beside a node by its heartbeats: which
-// instance of it is running, which service it runs, how many requests it takes
-// at a time, and whether it is draining. An instance is one start of the
-// upstream.
+// instance of it is running, how many requests it takes at a time, and whether it is
+// draining. An instance is one start of the upstream. Which service it runs, and at
+// which address, the node's settings say.
 //
-// Heartbeats can arrive seconds late, also those of an instance that has ended.
-// An instance that was replaced or has deregistered is remembered, and its
-// later heartbeats are ignored. What the upstream itself answers takes
-// precedence over any heartbeat, and what it says of itself in its answers is
-// kept until another instance starts.
+// Heartbeats can arrive seconds late, also those of an instance that has ended, and
+// other writers may send some. Starts are ordered by their time, not by arrival;
+// where that does not decide, a claim is disputed until the upstream has answered.
+// An instance that has deregistered is remembered, and its later heartbeats are
+// ignored. What the upstream itself answers takes precedence over any heartbeat, and
+// what it says of itself in its answers is kept until another instance starts. See
+// docs/design/instances.md.
 package instance
 
 import (
-	"slices"
-	"strconv"
-	"strings"
 	"time"
 )
 
 // MaxSlots bounds the slots of an instance.
 const MaxSlots = 1_000_000
 
-// bornSeparator is between the id and the start in an identity. No id contains it.
-const bornSeparator = "/"
-
-// Identity returns the name by which nodes know one start of an upstream: its id, with
-// the Unix millisecond of its start if the upstream reports that. An upstream may start
-// again under the id that it had.
-func Identity(id string, born int64) string {
-	if born == 0 {
-		return id
-	}
-	return id + bornSeparator + strconv.FormatInt(born, 10)
-}
-
-// IDOf returns the id in an identity, by which the upstream knows itself.
-func IDOf(identity string) string {
-	id, _, _ := strings.Cut(identity, bornSeparator)
-	return id
-}
-
-// bornOf returns the start in an identity; 0 if it has none.
-func bornOf(identity string) int64 {
-	_, text, _ := strings.Cut(identity, bornSeparator)
-	born, _ := strconv.ParseInt(text, 10, 64) // written by Identity
-	return born
-}
+const (
+	// silentAfter is how long the current instance says nothing, while another claims
+	// its place or heartbeats with lower numbers go on, until those are believed.
+	silentAfter = 5 * time.Second
+	// maxSeqStep bounds how far the sequence number grows from one heartbeat to the
+	// next that arrives.
+	maxSeqStep = 1 << 20
+)
 
 // Heartbeat is one heartbeat of an upstream.
 type Heartbeat struct {
@@ -86,8 +68,13 @@
 	Heard   bool
 	// Lost says that nothing listens at its address any more.
 	Lost bool
-	// seq is that of the newest heartbeat.
-	seq uint64
+	// disputedSince is when another instance first claimed the place of this one, which
+	// has said nothing since; zero if none has.
+	disputedSince time.Time
+	// seq is that of the newest heartbeat. lateSeq is that of the newest one with a lower
+	// number, lateSince when the first of these came; zero if a newer one came since.
+	seq, lateSeq uint64
+	lateSince    time.Time
 	// leaving says that it drains or leaves for good, drainSeq is that of the
 	// heartbeat that announced a drain; 0 for none.
 	leaving  bool
@@ -98,6 +85,9 @@
 // has said something itself.
 func (s State) Unconfirmed() bool { return s.Expected && !s.leaving }
 
+// Disputed reports whether another instance claims to be the current one.
+func (s State) Disputed() bool { return !s.disputedSince.IsZero() }
+
 // Stored is what a process leaves to the next one of the same VM.
 type Stored struct {
 	ID, Service string
@@ -123,7 +113,7 @@
 
 // The changes. Logs write them by name.
 const (
-	// Ignored: the message was late, or of another address.
+	// Ignored: the message was late.
 	Ignored Change = iota
 	// Same: the message changed nothing.
 	Same
@@ -131,7 +121,7 @@
 	// something itself.
 	Started
 	// Returned: the current instance takes requests again, or it changed its
-	// slots or its service.
+	// slots.
 	Returned
 	// Leaving: the current instance drains or has deregistered.
 	Leaving
@@ -140,51 +130,50 @@
 	// Limited: the current instance names a limit, another one, or none any
 	// more.
 	Limited
+	// Disputed: the message claims that another instance is the current one, which
+	// nothing confirms yet.
+	Disputed
+	// Refused: the message can't be of this upstream.
+	Refused
 )
 
-var changeNames = [...]string{"ignored", "same", "started", "returned", "leaving", "lost", "limited"}
+var changeNames = [...]string{"ignored", "same", "started", "returned", "leaving", "lost", "limited", "disputed", "refused"}
 
 // String returns the name of the change as it is logged.
 func (c Change) String() string { return changeNames[c] }
 
-// maxEnded bounds the ended instances that are remembered.
-const maxEnded = 64
-
-// endedInstance is an instance that was replaced or has deregistered.
-type endedInstance struct {
-	id           string
-	deregistered bool
-}
-
 // Tracker keeps the State. It is not safe for concurrent use.
 type Tracker struct {
-	address string
-	state   State
-	ended   []endedInstance // oldest first
+	address, service string
+	state            State
+	ended            endedInstances
 }
 
-// NewTracker returns a tracker of the upstream at an ip:port.
-func NewTracker(address string) *Tracker { return &Tracker{address: address} }
+// NewTracker returns a tracker of the upstream of a service at an ip:port.
+func NewTracker(address, service string) *Tracker {
+	return &Tracker{address: address, service: service}
+}
 
 // State returns what is known of the current instance.
 func (t *Tracker) State() State { return t.state }
 
-// Restore sets what an earlier process knew of the upstream. The instance is
+// Restore sets what an earlier process knew of the upstream, unless that was of another
+// service. The instance is
 // expected, and gets no requests until it has said something itself: since the
 // record was written it may have left or been replaced. That it leaves is valid
 // at once, and also if the instance has been heard meanwhile, unless by a later
 // heartbeat.
 func (t *Tracker) Restore(s Stored) Change {
 	switch {
-	case s.ID == "" || t.state.ID != "" && t.state.ID != s.ID:
+	case s.ID == "" || s.Service != t.service || t.state.ID != "" && t.state.ID != s.ID:
 		return Ignored
 	case t.state.ID == s.ID:
 		return t.restoreLeaving(s)
-	case t.hasEnded(s.ID) && !t.hasDeregistered(s.ID):
+	case t.ended.has(s.ID) && !t.ended.left(s.ID):
 		return Ignored
 	}
-	t.state = State{ID: s.ID, Service: s.Service, Slots: s.Slots, Expected: true}
-	if t.hasDeregistered(s.ID) {
+	t.state = State{ID: s.ID, Service: t.service, Slots: s.Slots, Expected: true}
+	if t.ended.left(s.ID) {
 		t.state.leave()
 	}
 	t.restoreLeaving(s)
@@ -209,7 +198,11 @@
 // Healthy records that the upstream has passed a health check as the instance
 // id: one that is expected takes requests then.
 func (t *Tracker) Healthy(id string) Change {
-	if id != IDOf(t.state.ID) || !t.state.Unconfirmed() {
+	if id != IDOf(t.state.ID) {
+		return Same
+	}
+	t.state.disputedSince = time.Time{}
+	if !t.state.Unconfirmed() {
 		return Same
 	}
 	t.state.Expected, t.state.Ready = false, true
@@ -218,21 +211,22 @@
 
 // HandleHeartbeat applies a heartbeat. A late one can't end a drain, but it can
 // announce one, which is obeyed since it is acknowledged, and it shows that a lost
-// instance is there. One of an earlier start under the same id is late for good.
+// instance is there. One of an earlier start under the same id is late for good, as is
+// one of an instance that has deregistered.
 func (t *Tracker) HandleHeartbeat(now time.Time, h Heartbeat) Change {
 	identity := Identity(h.ID, h.Born)
-	earlier := IDOf(t.state.ID) == h.ID && h.Born < bornOf(t.state.ID)
-	if h.Address != t.address || earlier || t.hasEnded(identity) || t.hasEnded(h.ID) {
+	switch {
+	case h.Address != t.address || h.Service != t.service:
+		return Refused
+	case t.ended.left(identity):
 		return Ignored
-	}
-	if identity != t.state.ID {
-		t.end(t.state.ID, false)
-		t.state = State{ID: identity}
-		t.apply(now, h)
-		return Started
+	case identity != t.state.ID:
+		return t.handleOther(now, h, identity)
+	case t.state.seq > 0 && h.Seq > t.state.seq && h.Seq-t.state.seq > maxSeqStep:
+		return Refused
 	}
 	late := h.Seq <= t.state.seq
-	if late && (t.state.leaving || t.state.Ready && !h.Draining) {
+	if late && (t.state.leaving || t.state.Ready && !h.Draining) && !t.outlasts(now, h.Seq) {
 		return Ignored
 	}
 	old := t.state
@@ -244,16 +238,75 @@
 		return Leaving
 	case t.state.Ready && !old.Ready:
 		return Returned
-	case t.state.Slots != old.Slots || t.state.Service != old.Service:
+	case t.state.Slots != old.Slots:
 		return Returned
 	default:
 		return Same
 	}
 }
 
+// handleOther applies a heartbeat of an instance that is not the current one.
+func (t *Tracker) handleOther(now time.Time, h Heartbeat, identity string) Change {
+	if IDOf(t.state.ID) == h.ID && h.Born < bornOf(t.state.ID) {
+		return Ignored
+	}
+	if !t.succeeds(now, h, identity) && !t.dispute(now) {
+		return Disputed
+	}
+	t.ended.add(t.state.ID, false)
+	t.ended.forget(identity)
+	t.state = State{ID: identity}
+	t.apply(now, h)
+	return Started
+}
+
+// succeeds reports whether an instance that sends a heartbeat has started after the
+// current one. Between two that do not report their start, arrival decides.
+func (t *Tracker) succeeds(now time.Time, h Heartbeat, identity string) bool {
+	current, sameID := bornOf(t.state.ID), h.ID == IDOf(t.state.ID)
+	switch {
+	case t.state.ID == "":
+		return !t.ended.has(identity)
+	case h.Born > 0 && h.Born != current && (current > 0 || sameID):
+		return h.Born > current && h.Born <= now.Add(maxClockError).UnixMilli()
+	case t.state.Lost || t.ended.left(t.state.ID):
+		return true
+	default:
+		return h.Born == 0 && current == 0 && !t.ended.has(identity)
+	}
+}
+
+// dispute records that another instance claims to be the current one. It reports
+// whether the current one has said nothing for so long that the claim is believed.
+func (t *Tracker) dispute(now time.Time) bool {
+	if !t.state.Disputed() {
+		t.state.disputedSince = now
+	}
+	return now.Sub(t.state.disputedSince) > silentAfter
+}
+
+// outlasts records a heartbeat of the current instance with a lower sequence number
+// than an earlier one. It reports whether such heartbeats have come for so long, and
+// none with a higher number, that the higher one was not of this instance.
+func (t *Tracker) outlasts(now time.Time, seq uint64) bool {
+	switch {
+	case t.state.lateSince.IsZero():
+		t.state.lateSince = now
+	case seq <= t.state.lateSeq:
+		return false
+	case now.Sub(t.state.lateSince) > silentAfter:
+		t.state.seq = seq
+		return true
+	}
+	t.state.lateSeq = seq
+	return false
+}
+
 func (t *Tracker) apply(now time.Time, h Heartbeat) {
 	t.state.seq = max(t.state.seq, h.Seq)
-	t.state.Service = h.Service
+	t.state.lateSeq, t.state.lateSince = 0, time.Time{}
+	t.state.disputedSince = time.Time{}
+	t.state.Service = t.service
 	t.state.Slots = h.Slots
 	t.state.Expected = false
 	if !h.Draining {
@@ -267,21 +320,40 @@
 	t.state.WarmUntil = now.Add(h.Warmup)
 }
 
-// Deregister records that the instance of an id has ended: the current one, if it has
-// that id.
-func (t *Tracker) Deregister(id string) Change {
-	if id == IDOf(t.state.ID) {
-		if t.hasEnded(t.state.ID) {
+// Deregistration says that an instance has ended.
+type Deregistration struct {
+	// ID and Born are those of Heartbeat; Born is 0 if the message does not name it.
+	ID   string
+	Born int64
+}
+
+// Deregister records that an instance has ended: the current one, if it has that id and
+// did not start later.
+func (t *Tracker) Deregister(d Deregistration) Change {
+	if d.ID != IDOf(t.state.ID) {
+		t.deregisterOther(d)
+		return Ignored
+	}
+	if d.Born > 0 {
+		t.ended.add(Identity(d.ID, d.Born), true)
+		if d.Born < bornOf(t.state.ID) {
 			return Ignored
 		}
-		t.end(t.state.ID, true)
-		t.state.leave()
-		return Leaving
 	}
-	if !slices.ContainsFunc(t.ended, func(e endedInstance) bool { return IDOf(e.id) == id }) {
-		t.end(id, true)
+	if t.ended.deregistered(t.state.ID) && t.state.Notice.Leaving {
+		return Ignored
+	}
+	t.ended.add(t.state.ID, true)
+	t.state.leave()
+	return Leaving
+}
+
+// deregisterOther records that an instance other than the current one has ended. If its
+// start is not named, it may be one that is known to have ended.
+func (t *Tracker) deregisterOther(d Deregistration) {
+	if d.Born > 0 || !t.ended.hasID(d.ID) {
+		t.ended.add(Identity(d.ID, d.Born), true)
 	}
-	return Ignored
 }
 
 // ConnectionRefused records that the address of the instance refuses
@@ -299,36 +371,11 @@
 // if it is the expected one and the actual one differs. actual may be empty if
 // the answer names none.
 func (t *Tracker) Misdirected(expected, actual string) Change {
-	t.forgetEnded(actual)
-	if expected != t.state.ID || actual == IDOf(expected) {
+	t.ended.forgetID(actual)
+	if t.state.ID == "" || expected != t.state.ID || actual == IDOf(expected) {
 		return Same
 	}
-	t.end(expected, false)
+	t.ended.add(expected, false)
 	t.state = State{}
 	return Lost
 }
-
-// forgetEnded removes an instance from the ended ones: it has just answered.
-func (t *Tracker) forgetEnded(id string) {
-	t.ended = slices.DeleteFunc(t.ended, func(e endedInstance) bool { return IDOf(e.id) == id })
-}
-
-func (t *Tracker) hasEnded(id string) bool {
-	return slices.ContainsFunc(t.ended, func(e endedInstance) bool { return e.id == id })
-}
-
-func (t *Tracker) hasDeregistered(id string) bool {
-	return slices.Contains(t.ended, endedInstance{id, true})
-}
-
-// end adds an instance to the ended ones, and drops the oldest if there are too
-// many.
-func (t *Tracker) end(id string, deregistered bool) {
-	if id == "" || t.hasEnded(id) {
-		return
-	}
-	if len(t.ended) == maxEnded {
-		t.ended = t.ended[1:]
-	}
-	t.ended = append(t.ended, endedInstance{id, deregistered})
-}
