--- a/internal/sidecar/claims_test.go
+++ b/internal/sidecar/claims_test.go
@@ -65,6 +65,27 @@
 	}
 }
 
+// TestIncompleteHeartbeatDoesNotEndADrain guards against heartbeats of another writer
+// without all fields that end a drain which was acknowledged.
+func TestIncompleteHeartbeatDoesNotEndADrain(t *testing.T) {
+	t.Parallel()
+	_, near, far := startPair(t)
+	far.heartbeat("far", "draining")
+	ran := far.up.ran.Load()
+	complete := platformtest.Heartbeat("far", far.up.address, "ready", 1000)
+	for _, field := range []string{`"zone":"west",`, `"version":"v1",`, `"warmupLeft":"0ms",`, `"capacity":4,`} {
+		if status := far.post(platformtest.HeartbeatPath(far.up.id), strings.Replace(complete, field, "", 1)); status != http.StatusBadRequest {
+			t.Errorf("heartbeat without %s: got status %d, want 400", field, status)
+		}
+		if a := near.request("POST", "/far-order/1", nil); a.status != http.StatusServiceUnavailable {
+			t.Errorf("after a heartbeat without %s: got status %d, want 503", field, a.status)
+		}
+	}
+	if got := far.up.ran.Load(); got != ran {
+		t.Errorf("%d requests reached an upstream that drains, want none", got-ran)
+	}
+}
+
 // TestUpstreamSaysWhichInstanceItIs guards against an upstream that is ignored for good
 // after another writer has named a later start at its address.
 func TestUpstreamSaysWhichInstanceItIs(t *testing.T) {
