Pipelined requests that run are answered before the server closes their connection

Cause: while a server drains, each answer closed its connection, and what ran behind a closing answer was dropped as "not read". That holds for what was only received. Ruled out: deadlines, the grace period, the links; the ready answers were at the node.

Why the fix works: what runs ahead is owed its answer. A close, for whatever reason, is put off until the last owed answer, and nothing further runs ahead meanwhile. The HTTP library reads a short request without a body in place of one that has run ahead, so no bound or lack of memory refuses it at its turn.

--- a/internal/ingress/ahead.go
+++ b/internal/ingress/ahead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -19,6 +20,8 @@
 	rc     fasthttp.RequestCtx
 	size   int // as received, in bytes
 	cancel context.CancelFunc
+	// standIn is what the server reads in its place.
+	standIn []byte
 	// done is closed when the answer is ready.
 	done chan struct{}
 	// held is the memory of the request and its answer. Guarded by the connection.
@@ -66,7 +69,7 @@
 		if state == incomplete {
 			return
 		}
-		if state == invalid || !c.p.idempotent(&r.rc.Request) {
+		if state == invalid || HasConflictingLengths(&r.rc.Request.Header) || !c.p.idempotent(&r.rc.Request) {
 			c.blocked = true
 			return
 		}
@@ -81,14 +84,28 @@
 			return
 		}
 		r.size, r.held, r.expected = size, cost, expected
+		r.standIn = standInFor(&r.rc.Request.Header)
+		c.p.owed.Add(1)
 		c.held += cost
 		c.ahead = append(c.ahead, r)
 		c.aheadSize += size
 		c.blocked = r.rc.Request.Header.ConnectionClose() // nothing behind it is read
+		c.setOwedLocked()
 		c.startLocked(r)
 	}
 }
 
+// standInFor returns the request that the server reads in place of one that has run
+// ahead. The method, protocol and connection option decide how its answer is written. It
+// has no body, so none of the bounds on bodies can refuse it.
+func standInFor(h *fasthttp.RequestHeader) []byte {
+	option := "keep-alive"
+	if h.ConnectionClose() {
+		option = "close"
+	}
+	return fmt.Appendf(nil, "%s / %s\r\nHost: h\r\nContent-Length: 0\r\nConnection: %s\r\n\r\n", h.Method(), h.Protocol(), option)
+}
+
 // startLocked starts a request.
 func (c *pipelinedConn) startLocked(r *aheadRequest) {
 	c.p.started.Add(1)
@@ -106,8 +123,8 @@
 	}()
 }
 
-// ready records that the answer of a request is ready. If it closes the connection,
-// the requests behind it are dropped.
+// ready records that the answer of a request is ready. If it closes the connection, no
+// further requests run ahead; those that do are answered first.
 func (c *pipelinedConn) ready(r *aheadRequest) {
 	size, closes := len(r.rc.Response.Body()), r.rc.Response.ConnectionClose()
 	c.mu.Lock()
@@ -119,17 +136,7 @@
 	r.held += more
 	c.held += more
 	c.p.memory.Add(int64(more))
-	if !closes {
-		return
-	}
-	c.closing = true
-	for i, other := range c.ahead {
-		if other == r {
-			c.dropLocked(i + 1)
-			return
-		}
-	}
-	c.dropLocked(0) // it is the current one
+	c.closing = c.closing || closes
 }
 
 // discardLog is the logger of requests that run ahead. Their handlers log by
--- a/internal/ingress/fill.go
+++ b/internal/ingress/fill.go
@@ -126,6 +126,11 @@
 			return 0, err
 		}
 	}
+	if len(c.standIn) > 0 {
+		n := copy(p, c.standIn)
+		c.standIn = c.standIn[n:]
+		return n, nil
+	}
 	for c.start == c.end {
 		if c.err != nil {
 			return 0, c.err
@@ -141,7 +146,8 @@
 	return c.deliverLocked(p), nil
 }
 
-// nextLocked begins the next request. None is begun for a client that has left.
+// nextLocked begins the next request; what was received of one that has run ahead is
+// skipped. None is begun for a client that has left.
 func (c *pipelinedConn) nextLocked() error {
 	if c.err != nil {
 		return c.err
@@ -153,7 +159,9 @@
 	c.current = c.ahead[0]
 	c.ahead = append(c.ahead[:0], c.ahead[1:]...)
 	c.aheadSize -= c.current.size
-	c.stage, c.left = stageBody, c.current.size
+	c.start += c.current.size
+	c.standIn = c.current.standIn
+	c.stage, c.left = stageBody, 0
 	return nil
 }
 
--- a/internal/ingress/guard.go
+++ b/internal/ingress/guard.go
@@ -97,7 +97,7 @@
 func (g *guard) oldest() *guardedConn {
 	var oldest *guardedConn
 	for c := range g.open {
-		if !c.busy && (oldest == nil || c.since.Before(oldest.since)) {
+		if !c.busy && !c.owed && (oldest == nil || c.since.Before(oldest.since)) {
 			oldest = c
 		}
 	}
@@ -112,6 +112,8 @@
 	// written; since is when it was last cleared. Both are guarded by guard.mu.
 	busy  bool
 	since time.Time
+	// owed says that answers to requests that have run ahead are still to be written.
+	owed bool
 	// answers counts the answers that are to be written in pieces.
 	answers int
 	// linger says that the rest of what the client sends is read before the connection is
@@ -129,6 +131,13 @@
 	c.busy = true
 }
 
+// setOwed records whether answers to requests that have run ahead are still to be written.
+func (c *guardedConn) setOwed(owed bool) {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.owed = owed
+}
+
 // Close implements net.Conn.
 func (c *guardedConn) Close() error {
 	if c.linger.CompareAndSwap(true, false) && c.guard.lingering.start(c.Conn, func() { _ = c.closeNow() }) {
--- a/internal/ingress/pipeline.go
+++ b/internal/ingress/pipeline.go
@@ -37,7 +37,8 @@
 	// hangupPoll is how often a connection is asked whether its client has closed it
 	// while the read-ahead buffer is full, so that no read can tell.
 	hangupPoll = 100 * time.Millisecond
-	// shutdownPoll is how often Shutdown looks whether requests still run ahead.
+	// shutdownPoll is how often Shutdown looks whether requests still run ahead or have
+	// answers that are owed.
 	shutdownPoll = 10 * time.Millisecond
 )
 
@@ -63,8 +64,9 @@
 	templateOnce sync.Once
 	// memory is the size of all read-ahead buffers, requests that run ahead and ready
 	// answers, running the number of requests that run ahead, and started the number
-	// that ever did.
-	memory, running, started atomic.Int64
+	// that ever did. owed is the number of those that have run ahead, or do, and whose
+	// turn has not ended.
+	memory, running, started, owed atomic.Int64
 }
 
 // defaultHeadBytes is the bound on heads of a server without one.
@@ -117,9 +119,9 @@
 	p.templateOnce.Do(func() { empty.CopyTo(&p.template) })
 }
 
-// awaitEnd waits until no request runs ahead or ctx ends.
+// awaitEnd waits until no request runs ahead and no answer is owed, or ctx ends.
 func (p *pipeline) awaitEnd(ctx context.Context) {
-	for p.running.Load() > 0 {
+	for p.running.Load() > 0 || p.owed.Load() > 0 {
 		if wait.For(ctx, shutdownPoll) != nil {
 			return
 		}
@@ -142,10 +144,11 @@
 
 // pipelinedConn is a client's connection that is read while a request is served. It
 // delivers to the server the bytes of one request at a time, so that it knows where
-// the next one begins, and runs idempotent requests behind the current one ahead. The
-// server still reads each request itself, in order; for one that has run ahead, its
-// handler only hands over the answer. A connection whose client has left cancels all
-// its requests.
+// the next one begins, and runs idempotent requests behind the current one ahead. In
+// place of one that has run ahead, the server reads a short one without a body, and its
+// handler only hands over the answer. What has run ahead is owed its answer: if the
+// server closes the connection, it does so with the last of these. A connection whose
+// client has left cancels all its requests.
 type pipelinedConn struct {
 	net.Conn
 	p *pipeline
@@ -169,8 +172,10 @@
 	stage stage
 	left  int
 	head  headReader
-	// current is the request being read or served, if it has run ahead.
+	// current is the request being read or served, if it has run ahead, and standIn what
+	// the server has yet to read in its place.
 	current *aheadRequest
+	standIn []byte
 	// ahead are the requests behind it that run, or have run, in order.
 	ahead []*aheadRequest
 	// aheadSize is the sum of their sizes, held the memory of these and current.
@@ -179,7 +184,7 @@
 	concurrent bool
 	// blocked says that the first request behind those of ahead doesn't run ahead.
 	blocked bool
-	// closing says that nothing behind the requests of ahead is answered.
+	// closing says that nothing behind the requests of ahead is run or answered.
 	closing bool
 
 	small [readAheadSize]byte
@@ -199,20 +204,20 @@
 func (c *pipelinedConn) serve(rc *fasthttp.RequestCtx) {
 	c.p.setTemplate(&rc.Response)
 	concurrent := c.p.idempotent(&rc.Request)
-	closes := rc.Request.Header.ConnectionClose()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	r := c.begin(cancel, concurrent, closes)
+	r := c.begin(cancel, concurrent, rc.Request.Header.ConnectionClose())
 	if r != nil {
 		<-r.done
 		c.p.handOver(ctx, r, rc)
 	} else {
 		c.p.handle(ctx, rc)
 	}
-	if c.p.draining.Load() {
+	closes := rc.Response.ConnectionClose()
+	rc.Response.Header.ResetConnectionClose()
+	if c.finish(r, closes) {
 		rc.SetConnectionClose()
 	}
-	c.finish(r, closes || rc.Response.ConnectionClose())
 }
 
 // begin starts the serving of a request. It returns the request if it has run ahead.
@@ -220,7 +225,7 @@
 func (c *pipelinedConn) begin(cancel context.CancelFunc, concurrent, closes bool) *aheadRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	known := c.stage == stageHead && c.head.ended || c.stage == stageBody && c.left == 0
+	known := c.stage == stageHead && c.head.ended || c.stage == stageBody && c.left == 0 && len(c.standIn) == 0
 	r := c.current
 	c.stage = stageServed
 	if !known {
@@ -231,7 +236,7 @@
 	if r == nil {
 		c.blocked = false // the request that did not run ahead is this one
 	}
-	c.concurrent = concurrent && known
+	c.concurrent = (concurrent || r != nil) && known
 	c.closing = c.closing || closes
 	c.cancel, c.ended = cancel, make(chan struct{})
 	if c.err != nil {
@@ -249,20 +254,20 @@
 	return r
 }
 
-// finish ends the serving of a request. If its answer closes the connection, requests
-// behind it are dropped.
-func (c *pipelinedConn) finish(r *aheadRequest, closes bool) {
+// finish ends the serving of a request and reports whether its answer closes the
+// connection. If the server closes it, it does so behind the answers of the requests that
+// have run ahead.
+func (c *pipelinedConn) finish(r *aheadRequest, closes bool) (last bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	close(c.ended)
 	c.cancel, c.ended, c.concurrent, c.current = nil, nil, false, nil
 	if r != nil {
 		c.releaseLocked(r)
+		c.setOwedLocked()
 	}
-	if closes {
-		c.closing = true
-		c.dropLocked(0)
-	}
+	c.closing = c.closing || closes || c.p.draining.Load()
+	last = c.closing && len(c.ahead) == 0
 	if c.filling && c.start == c.end && len(c.buf) > readAheadSize {
 		// End the pending read, so that an idle connection keeps no large buffer. The
 		// server sets the deadline anew before it reads; fill must have noticed this one
@@ -272,6 +277,15 @@
 			c.changed.Wait()
 		}
 	}
+	return last
+}
+
+// setOwedLocked tells the bound on connections whether answers to requests that have run
+// ahead are owed.
+func (c *pipelinedConn) setOwedLocked() {
+	if g := guardOf(c); g != nil {
+		g.setOwed(c.current != nil || len(c.ahead) > 0)
+	}
 }
 
 // leaveLocked cancels all requests of a client that has left.
@@ -297,8 +311,10 @@
 	c.ahead = c.ahead[:from]
 }
 
-// releaseLocked gives back the memory of a request and its answer.
+// releaseLocked gives back the memory of a request whose turn has ended, or that was
+// dropped, and its answer.
 func (c *pipelinedConn) releaseLocked(r *aheadRequest) {
+	c.p.owed.Add(-1)
 	c.held -= r.held
 	c.p.memory.Add(-int64(r.held))
 	r.held = 0
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -145,9 +145,9 @@
 		c.watch(cancel)
 		defer c.unwatch()
 		handle(ctx, rc)
-	}
-	if s.draining.Load() {
-		rc.SetConnectionClose()
+		if s.draining.Load() {
+			rc.SetConnectionClose()
+		}
 	}
 }
 
@@ -215,15 +215,17 @@
 	return s.pipeline.memory.Load()
 }
 
-// Drain moves callers to other nodes: from now on each answer closes its
-// connection. Requests are still served.
+// Drain moves callers to other nodes: from now on each answer closes its connection, but
+// for those with further ones behind them to requests that have run ahead. Requests are
+// still served.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Shutdown closes the listener and waits for requests in flight until ctx ends.
+// Shutdown drains, waits until no answer to a request that has run ahead is owed, closes
+// the listener, and waits for requests in flight, all until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
-	err := s.http.ShutdownWithContext(ctx)
+	s.Drain()
 	if s.pipeline != nil {
-		s.pipeline.awaitEnd(ctx)
+		s.pipeline.awaitEnd(ctx) // then the HTTP library ends each connection behind its next answer
 	}
-	return err
+	return s.http.ShutdownWithContext(ctx)
 }
--- a/internal/sidecar/pipelining_test.go
+++ b/internal/sidecar/pipelining_test.go
@@ -104,3 +104,50 @@
 		t.Errorf("requests %q ran, want none behind the order: their client had left", up.begun)
 	}
 }
+
+// TestStopAnswersPipelinedRequestsThatRan guards against pipelined lookups that have been
+// passed on and get no answer because the node stops: the first one is slow, or has no
+// answer by the end of the grace period.
+func TestStopAnswersPipelinedRequestsThatRan(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		release bool
+		first   int
+	}{{"slow", true, http.StatusOK}, {"not answered in time", false, http.StatusGatewayTimeout}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			tc, near, far := startPair(t)
+			up := &gatedUpstream{gates: make(map[string]chan struct{})}
+			far.up.set(up.serve)
+			conn := dial(t, near.cfg.Clients)
+			_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+			paths := []string{"/far/0/held", "/far/1", "/far/2", "/far/3"}
+			for _, path := range paths {
+				_, _ = io.WriteString(conn, pipelinedText("GET", path))
+			}
+			tc.waitFor("all run", func() bool {
+				return !slices.ContainsFunc(paths, func(path string) bool { return !up.hasBegun(path) })
+			})
+			near.stop()
+			tc.waitFor("not ready", func() bool { return !near.ready() })
+			if c.release {
+				time.Sleep(200 * time.Millisecond)
+				close(up.gate(paths[0]))
+			}
+			r := bufio.NewReader(conn)
+			for i, path := range paths {
+				status, body := c.first, path
+				if i > 0 {
+					status = http.StatusOK
+				}
+				var answer fasthttp.Response
+				if err := answer.Read(r); err != nil || answer.StatusCode() != status || status == http.StatusOK && string(answer.Body()) != body {
+					t.Fatalf("%s: got status %d, body %q (%v), want status %d", path, answer.StatusCode(), answer.Body(), err, status)
+				}
+				if last := i == len(paths)-1; answer.ConnectionClose() != last {
+					t.Errorf("%s: answer closes the connection: %v, want %v", path, answer.ConnectionClose(), last)
+				}
+			}
+		})
+	}
+}
