An answer without a length is whole only once the request was sent

Cause: a long body is written beside the reading of the answer, and the kernel gives the error of a reset to one of the two. If the write gets it, the read sees a clean end, and Client.exchange took the answer as complete although the write had failed. Ruled out: the link, which carries only answers that were read completely; lengths and chunks.

Why the fix works: an end by close is proved only if the whole request was written without an error. Else the answer is a partial one: may have run, 502 for an order. It stands in exchange, where held and streamed bodies meet.

--- a/internal/sidecar/brokenanswer_test.go
+++ b/internal/sidecar/brokenanswer_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"heathershed/platform/platformtest"
 )
@@ -50,3 +52,46 @@
 		}
 	}
 }
+
+// hijack lets an upstream answer each request with what write sends on its connection,
+// which is closed behind it.
+func hijack(u *testUpstream, write func(conn *net.TCPConn, head string)) {
+	u.set(func(rw http.ResponseWriter, r *http.Request) {
+		conn, _, err := rw.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		write(conn.(*net.TCPConn), fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n", platformtest.HeaderAttempt, r.Header.Get(platformtest.HeaderAttempt), platformtest.HeaderSeal))
+	})
+}
+
+// TestPartOfAnEarlyAnswerReachesNoClient guards against a part of an answer without a length
+// that reaches a client as complete: the upstream sent it while a long upload was written,
+// and reset the connection.
+func TestPartOfAnEarlyAnswerReachesNoClient(t *testing.T) {
+	t.Parallel()
+	tc, near, far := startPair(t)
+	const limit = 16 << 20
+	tc.writeConfig(strings.Replace(platformtest.Config(2, "near", "far"), `"maxBodyBytes":1000`, fmt.Sprintf(`"maxBodyBytes":%d`, limit), 1))
+	for _, m := range []*vm{near, far} {
+		tc.waitFor("the bound on bodies is known", func() bool { return m.node.table.Load().Limits.BodyBytes == limit })
+	}
+	for _, delay := range []time.Duration{0, 20 * time.Millisecond} {
+		hijack(far.up, func(conn *net.TCPConn, head string) {
+			_, _ = fmt.Fprint(conn, head+"\r\npart")
+			time.Sleep(delay)
+			_ = conn.SetLinger(0)
+		})
+		for from, m := range map[string]*vm{"over a link": near, "beside the upstream": far} {
+			for _, request := range [][2]string{{"GET", "/far/1"}, {"POST", "/far-order/1"}} {
+				for _, size := range []int{1 << 20, 8 << 20, 12 << 20} {
+					a := m.request(request[0], request[1], make([]byte, size))
+					if a.status/100 == 2 || request[0] == "POST" && a.status == http.StatusServiceUnavailable {
+						t.Errorf("%s, %s of %d bytes, reset after %v: got status %d with body %q (%v)", from, request[0], size, delay, a.status, a.body, a.err)
+					}
+				}
+			}
+		}
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -233,6 +233,9 @@
 	if err != nil && step == stepSend {
 		return failed(ctx, cn.written.Load(), step, err), false
 	}
+	if err == nil && step == stepEarly && req.endsWithConnection(answer) {
+		err = errUnprovenEnd
+	}
 	if err != nil {
 		return readFailed(ctx, cn.written.Load(), answer, err), false
 	}
@@ -247,6 +250,18 @@
 	return out, reusable && out.Reason != contract.ReasonPartialAnswer
 }
 
+// endsWithConnection reports whether the end of an answer is that of the connection. While
+// the request is sent, that end proves nothing: the write may get the error of an abort
+// that the read would have got.
+func (r *Request) endsWithConnection(answer *fasthttp.Response) bool {
+	return r.hasBody(answer) && answer.Header.ContentLength() == untilClose
+}
+
+// hasBody reports whether an answer has a body, which may be empty.
+func (r *Request) hasBody(answer *fasthttp.Response) bool {
+	return !r.HTTP.Header.IsHead() && mayHaveBody(answer.StatusCode())
+}
+
 // classify returns the outcome that a complete answer stands for.
 func (r *Request) classify(answer *fasthttp.Response) Outcome {
 	if r.Classify != nil {
--- a/internal/upstream/failure.go
+++ b/internal/upstream/failure.go
@@ -19,7 +19,7 @@
 	}
 	if isTooLarge(err) {
 		out.Reason = contract.ReasonTooLarge
-	} else if errors.Is(err, errNoFraming) || answer.Header.ContentLength() != 0 || len(answer.Body()) > 0 {
+	} else if errors.IsAny(err, errNoFraming, errUnprovenEnd) || answer.Header.ContentLength() != 0 || len(answer.Body()) > 0 {
 		out.Reason = contract.ReasonPartialAnswer
 	}
 	return out
@@ -57,7 +57,7 @@
 // sent, which may belong to another caller. The errors of the HTTP library quote
 // it.
 func describe(err error) string {
-	for _, own := range []error{errStaleAnswers, errNoFraming, errNoStatus, errTooManyInterim, errTooManyBytes, errNoMemory, fasthttp.ErrBodyTooLarge, io.ErrUnexpectedEOF, io.EOF} {
+	for _, own := range []error{errStaleAnswers, errNoFraming, errUnprovenEnd, errNoStatus, errTooManyInterim, errTooManyBytes, errNoMemory, fasthttp.ErrBodyTooLarge, io.ErrUnexpectedEOF, io.EOF} {
 		if errors.Is(err, own) {
 			return own.Error()
 		}
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -41,6 +41,9 @@
 	// errNoStatus is returned for an answer whose status line has no status from 100
 	// to 599, or another protocol than HTTP/1.0 or HTTP/1.1.
 	errNoStatus = errors.New("status line is invalid")
+	// errUnprovenEnd is returned for an answer that ends with its connection, while the
+	// request was still being sent: that end may be an abort.
+	errUnprovenEnd = errors.New("answer without a length ended before the request was sent")
 	// errTooManyInterim is returned if the final answer does not come.
 	errTooManyInterim = errors.New("too many interim answers")
 	// errTooManyBytes is returned for an answer that takes more bytes than its
@@ -101,7 +104,7 @@
 	if err := readHead(cn, answer); err != nil {
 		return err
 	}
-	if req.HTTP.Header.IsHead() || !mayHaveBody(answer.StatusCode()) {
+	if !req.hasBody(answer) {
 		return nil
 	}
 	length := answer.Header.ContentLength()
