Each line of an answer's head and trailer is checked before it is parsed

Cause: only the status line was checked before the codec, which removes blanks before a colon, keeps names that hold blanks, joins lines that begin with a blank to the one before, takes chunks of HTTP/1.0 for the body and adds trailers to the head.

TestBadInputIsRejectedAndNotForwarded: a folded line of a client's request was joined and forwarded. TestReplyWithAnInvalidFieldIsMalformed: a link passed on any field.

Why the fix works: internal/fieldline decides what a field line is (RFC 9112 without folding), in one place for final and interim answers, trailers, replies on links and requests of clients, before the codec sees them. A bad answer is a fault of the upstream: may have run, 502 for an order, nothing of it quoted. Bodies in chunks are read by the standard library's reader, which leaves the trailer to this check; trailers are dropped.

--- a/internal/ingress/ahead.go
+++ b/internal/ingress/ahead.go
@@ -69,7 +69,7 @@
 		if state == incomplete {
 			return
 		}
-		if state == invalid || HasConflictingLengths(&r.rc.Request.Header) || !c.p.idempotent(&r.rc.Request) {
+		if state == invalid || Ambiguity(&r.rc.Request.Header) != "" || !c.p.idempotent(&r.rc.Request) {
 			c.blocked = true
 			return
 		}
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"iter"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +12,7 @@
 
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
+	"heathershed/internal/fieldline"
 )
 
 const (
@@ -154,16 +156,21 @@
 	return len(h.Method()) + len(h.RequestURI()) + separators + len(h.RawHeaders())
 }
 
-// HasConflictingLengths reports whether a request has both a Content-Length and a
-// Transfer-Encoding. Two parsers that each read one of them would disagree on
-// where the body ends, which allows request smuggling.
-func HasConflictingLengths(h *fasthttp.RequestHeader) bool {
+// Ambiguity returns why two parsers may disagree on where a request ends, which allows
+// request smuggling; empty if they don't: it has both a Content-Length and a
+// Transfer-Encoding, or a line in its head is no field, or the continuation of one.
+func Ambiguity(h *fasthttp.RequestHeader) string {
 	length, chunks := false, false
-	for line := range bytes.Lines(h.RawHeaders()) {
-		name, _, _ := bytes.Cut(line, []byte(":"))
-		name = bytes.TrimSpace(name)
-		length = length || bytes.EqualFold(name, []byte("Content-Length"))
-		chunks = chunks || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+	for line := range strings.Lines(string(h.RawHeaders())) {
+		name, ok := fieldline.Check(line)
+		if !ok {
+			return "a field line is invalid"
+		}
+		length = length || strings.EqualFold(name, fasthttp.HeaderContentLength)
+		chunks = chunks || strings.EqualFold(name, fasthttp.HeaderTransferEncoding)
+	}
+	if length && chunks {
+		return "both a length and chunks"
 	}
-	return length && chunks
+	return ""
 }
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	linkpb "heathershed/api/link"
 	"heathershed/internal/contract"
+	"heathershed/internal/fieldline"
 )
 
 // sentKey is the context key of a call's sent flag.
@@ -67,9 +69,16 @@
 	if contract.Verdict(reply.Verdict) == contract.Ran && !endsExchange(reply.Status) {
 		return failure(contract.MayHaveRun, contract.ReasonPartialAnswer, "answer on the link has no valid status")
 	}
+	if slices.ContainsFunc(reply.Headers, isInvalid) {
+		return failure(contract.MayHaveRun, contract.ReasonPartialAnswer, "answer on the link has an invalid field")
+	}
 	return reply
 }
 
+// isInvalid reports whether a header can't be written as a field line. The other node may be
+// of a version that does not check those of its upstream.
+func isInvalid(h *linkpb.Header) bool { return !fieldline.IsField(string(h.Name), string(h.Value)) }
+
 // endsExchange reports whether an answer of this status is the final one. Those from 100
 // to 199 announce another one, except 101.
 func endsExchange(status uint32) bool {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -23,8 +23,9 @@
 	incarnation atomic.Uint64
 	started     chan string
 	release     sync.Map // kind -> chan struct{}
-	// status is the status of the replies.
+	// status is the status of the replies, header a further header of them if not nil.
 	status atomic.Uint32
+	header atomic.Pointer[linkpb.Header]
 }
 
 func newTestNode(vm string, incarnation uint64) *testNode {
@@ -51,7 +52,12 @@
 		}
 		return failure(contract.MayHaveRun, contract.ReasonCancelled, "")
 	}
-	return &linkpb.CallReply{Verdict: uint32(contract.Ran), Status: n.status.Load(), Body: []byte("answer to " + req.Kind)}
+	reply := &linkpb.CallReply{Verdict: uint32(contract.Ran), Status: n.status.Load(), Body: []byte("answer to " + req.Kind)}
+	reply.Headers = []*linkpb.Header{{Name: []byte("X"), Value: []byte("1")}}
+	if header := n.header.Load(); header != nil {
+		reply.Headers = append(reply.Headers, header)
+	}
+	return reply
 }
 
 func (n *testNode) Heartbeat(*Session) *linkpb.ControlFrame {
@@ -464,6 +470,30 @@
 	}
 }
 
+// TestReplyWithAnInvalidFieldIsMalformed guards against a line in an answer to a client that
+// a node of another version has passed on and that is no field.
+func TestReplyWithAnInvalidFieldIsMalformed(t *testing.T) {
+	p := newPair(t)
+	p.setTarget(7)
+	waitFor(t, func() bool { return p.set.Up("b") })
+	for _, c := range []struct {
+		name, value string
+		valid       bool
+	}{
+		{"x-y", "a\tb", true}, {"X Y", "1", false}, {"X ", "1", false}, {"", "1", false},
+		{"Y", "1\r\nZ: 2", false}, {"Y\x01", "1", false}, {"Y", "\x00", false},
+	} {
+		p.served.header.Store(&linkpb.Header{Name: []byte(c.name), Value: []byte(c.value)})
+		kind := fmt.Sprintf("field %q: %q", c.name, c.value)
+		close(p.served.releaseOf(kind))
+		reply := <-p.call(t.Context(), kind)
+		<-p.served.started
+		if ran := contract.Verdict(reply.Verdict) == contract.Ran; ran != c.valid || (len(reply.Body) > 0) != c.valid {
+			t.Errorf("%s: got %v, want an answer: %v", kind, reply, c.valid)
+		}
+	}
+}
+
 // Guards against replies that reach the wrong caller when calls end in another
 // order than they began.
 func TestOutOfOrderRepliesReachTheirCallers(t *testing.T) {
--- a/internal/sidecar/badinput_test.go
+++ b/internal/sidecar/badinput_test.go
@@ -25,6 +25,13 @@
 		{"length and chunked encoding", "POST /near/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
 		{"invalid length", "POST /near/1 HTTP/1.1\r\nHost: h\r\nContent-Length: many\r\n\r\n"},
 		{"invalid chunk", "POST /near/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n"},
+		{"blank in a name", head + "X Y: 1\r\n\r\n"},
+		{"blank before a colon", "POST /near/1 HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc"},
+		{"line that continues the one before", head + "X: 1\r\n folded\r\n\r\n"},
+		{"first line that begins with a blank", "GET /near/1 HTTP/1.1\r\n X: 1\r\nHost: h\r\n\r\n"},
+		{"control byte in a name", head + "X\x01: 1\r\n\r\n"},
+		{"no colon", head + "X\r\n\r\n"},
+		{"line feed alone", head + "X: 1\n\r\n"},
 		{"invalid deadline", head + platformtest.HeaderRemaining + ": soon\r\n\r\n"},
 		{"attempt id over the limit", head + platformtest.HeaderAttempt + ": " + strings.Repeat("a", 5000) + "\r\n\r\n"},
 	}
--- a/internal/sidecar/brokenanswer_test.go
+++ b/internal/sidecar/brokenanswer_test.go
@@ -95,3 +95,26 @@
 		}
 	}
 }
+
+// TestAnswerWithAnInvalidFieldReachesNoClient guards against an answer with a line that is no
+// field which reaches a client, with that line or with another body.
+func TestAnswerWithAnInvalidFieldReachesNoClient(t *testing.T) {
+	t.Parallel()
+	_, near, far := startPair(t)
+	for _, line := range []string{"X Y: 1", "X : 1", " X: 1", "X: 1\r\n folded", "Content-Length : 4", "X\x01: 1", "X: a\x01"} {
+		for form, rest := range map[string]string{
+			"head":    line + "\r\nContent-Length: 15\r\n\r\ncomplete answer",
+			"trailer": "Transfer-Encoding: chunked\r\n\r\nf\r\ncomplete answer\r\n0\r\n" + line + "\r\n\r\n",
+		} {
+			hijack(far.up, func(conn *net.TCPConn, head string) { _, _ = fmt.Fprint(conn, head+rest) })
+			for from, m := range map[string]*vm{"over a link": near, "beside the upstream": far} {
+				if a := m.request("GET", "/far/1", nil); a.status/100 == 2 {
+					t.Errorf("%q in the %s, %s: lookup got status %d, body %q", line, form, from, a.status, a.body)
+				}
+				if a := m.request("POST", "/far-order/1", nil); a.status != http.StatusBadGateway || strings.Contains(a.body, line) {
+					t.Errorf("%q in the %s, %s: order got status %d, body %q; want 502", line, form, from, a.status, a.body)
+				}
+			}
+		}
+	}
+}
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -162,9 +162,9 @@
 	if err != nil {
 		return c, outcome.NotRunReply(contract.ReasonBadRequest, err.Error())
 	}
-	if ingress.HasConflictingLengths(&rc.Request.Header) {
+	if detail := ingress.Ambiguity(&rc.Request.Header); detail != "" {
 		rc.SetConnectionClose()
-		return c, outcome.NotRunReply(contract.ReasonBadRequest, "both a length and chunks")
+		return c, outcome.NotRunReply(contract.ReasonBadRequest, detail)
 	}
 	if reply := n.findRoute(rc, c); reply != nil {
 		return c, reply
--- a/internal/upstream/failure.go
+++ b/internal/upstream/failure.go
@@ -57,7 +57,7 @@
 // sent, which may belong to another caller. The errors of the HTTP library quote
 // it.
 func describe(err error) string {
-	for _, own := range []error{errStaleAnswers, errNoFraming, errUnprovenEnd, errNoStatus, errTooManyInterim, errTooManyBytes, errNoMemory, fasthttp.ErrBodyTooLarge, io.ErrUnexpectedEOF, io.EOF} {
+	for _, own := range []error{errStaleAnswers, errNoFraming, errUnprovenEnd, errNoStatus, errBadField, errBadChunks, errTooManyInterim, errTooManyBytes, errNoMemory, fasthttp.ErrBodyTooLarge, io.ErrUnexpectedEOF, io.EOF} {
 		if errors.Is(err, own) {
 			return own.Error()
 		}
@@ -66,10 +66,6 @@
 	if errors.As(err, &network) {
 		return network.Error()
 	}
-	var chunk fasthttp.ErrBrokenChunk
-	if errors.As(err, &chunk) {
-		return "chunks are invalid"
-	}
 	return "bytes are no answer"
 }
 
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http/httputil"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -38,12 +39,11 @@
 	// errNoFraming is returned for an answer whose end cannot be distinguished
 	// from a truncation.
 	errNoFraming = errors.New("answer with neither a length nor chunks")
-	// errNoStatus is returned for an answer whose status line has no status from 100
-	// to 599, or another protocol than HTTP/1.0 or HTTP/1.1.
-	errNoStatus = errors.New("status line is invalid")
 	// errUnprovenEnd is returned for an answer that ends with its connection, while the
 	// request was still being sent: that end may be an abort.
 	errUnprovenEnd = errors.New("answer without a length ended before the request was sent")
+	// errBadChunks is returned for a body in chunks that can't be read.
+	errBadChunks = errors.New("chunks are invalid")
 	// errTooManyInterim is returned if the final answer does not come.
 	errTooManyInterim = errors.New("too many interim answers")
 	// errTooManyBytes is returned for an answer that takes more bytes than its
@@ -112,19 +112,48 @@
 		return errNoFraming
 	}
 	cn.readable += bodyBytes(length, req.MaxAnswer)
-	answer.SkipBody, answer.StreamBody = false, true
-	if err := answer.ReadBody(cn.r, req.MaxAnswer); err != nil { // opens the stream
-		return err
-	}
-	body, err := c.memory.readAll(ctx, answer.BodyStream(), length, req.MaxAnswer)
-	if closeErr := answer.CloseBodyStream(); err == nil {
-		err = closeErr
-	}
-	answer.StreamBody = false
+	body, err := c.memory.readAll(ctx, bodyOf(cn, length), length, req.MaxAnswer)
+	answer.SkipBody = false
 	answer.SetBodyRaw(body)
 	return err
 }
 
+// bodyOf returns the body of an answer whose head has been read.
+func bodyOf(cn *conn, length int) io.Reader {
+	switch {
+	case length >= 0:
+		return io.LimitReader(cn.r, int64(length))
+	case length == chunked:
+		return &chunkedBody{cn: cn, chunks: httputil.NewChunkedReader(cn.r)}
+	default:
+		return cn.r
+	}
+}
+
+// chunkedBody is a body in chunks. It ends behind its trailer.
+type chunkedBody struct {
+	cn     *conn
+	chunks io.Reader
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.chunks.Read(p)
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, io.EOF):
+		if err := readTrailer(b.cn); err != nil {
+			return n, err
+		}
+		return n, io.EOF
+	case isNetwork(err) || errors.IsAny(err, io.ErrUnexpectedEOF, errTooManyBytes):
+		return n, err
+	default:
+		return n, errBadChunks
+	}
+}
+
 // readHead reads the head of the final answer. On an error answer is empty.
 func readHead(cn *conn, answer *fasthttp.Response) error {
 	for range maxInterim + 1 {
@@ -153,18 +182,6 @@
 	return err
 }
 
-// parseHead checks the status line and parses the head behind it.
-func parseHead(r *bufio.Reader, answer *fasthttp.Response) error {
-	line, err := peekLine(r)
-	if err != nil {
-		return err
-	}
-	if !isStatusLine(line) {
-		return errNoStatus
-	}
-	return answer.Header.Read(r)
-}
-
 // isInterim reports whether another answer follows one of this status. 101 ends the
 // exchange.
 func isInterim(status int) bool {
