Tests: an upload or a health check that is answered without end is cut off

Reported by other operators: a faulty target sent bytes that were no answer, without end, and the machine that had called it kept them all. Tried here for what is newer than the bounds of docs/design/bounds.md: long uploads, held and streamed, answered without end in 17 forms of head, interim heads, chunk extensions, trailers and body (TestAnswerWithoutEndIsCutOff), the same over a link and beside the upstream on real nodes, with other requests beside them (TestUploadAnsweredWithoutEndIsCutOff), and health checks (TestHealthCheckAnsweredWithoutEndIsCutOff). None is kept: each passes on the code as it is, so nothing else changes.

--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -125,3 +127,97 @@
 		t.Errorf("answers without end kept their callers for %v, want at most 2 s", took)
 	}
 }
+
+// endlessForms are answers that never end: what begins them, and what goes on.
+var endlessForms = map[string][2]string{
+	"head":              {"HTTP/1.1 200 OK\r\n", "X: a\r\n"},
+	"field":             {"HTTP/1.1 200 OK\r\nX: ", "a"},
+	"answers before it": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	"no answer":         {"", "\x16\x03\x01"},
+	"chunk extension":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;", "a"},
+	"trailers":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: a\r\n"},
+	"chunks":            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\naaaa\r\n"},
+	"body":              {"HTTP/1.1 200 OK\r\n\r\n", "a"},
+}
+
+// endlessUpstream answers without end, until the node closes the connection.
+type endlessUpstream struct {
+	form [2]string
+	// open counts the connections on which it answers, most is the largest number of bytes
+	// that it could send on one.
+	open, most atomic.Int64
+}
+
+func (u *endlessUpstream) serve(rw http.ResponseWriter, _ *http.Request) {
+	conn, _, err := rw.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	u.open.Add(1)
+	defer u.open.Add(-1)
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(waitTimeout)) // bounds a test that fails
+	sent, err := io.WriteString(conn, u.form[0])
+	for text := strings.Repeat(u.form[1], 2048); err == nil; {
+		var n int
+		n, err = io.WriteString(conn, text)
+		sent += n
+	}
+	for old := u.most.Load(); int64(sent) > old && !u.most.CompareAndSwap(old, int64(sent)); old = u.most.Load() {
+	}
+}
+
+// TestUploadAnsweredWithoutEndIsCutOff guards against bytes without end that answer a long
+// upload, beside the upstream and over a link, and that a node reads until its memory is
+// used up.
+func TestUploadAnsweredWithoutEndIsCutOff(t *testing.T) {
+	t.Parallel()
+	tc, near, far := startPair(t)
+	const (
+		limit = 32 << 20
+		size  = 12 << 20
+		most  = 2 * maxAnswer // with framing and what the kernels hold
+	)
+	tc.writeConfig(strings.Replace(platformtest.Config(2, "near", "far"), `"maxBodyBytes":1000`, fmt.Sprintf(`"maxBodyBytes":%d`, limit), 1))
+	for _, m := range []*vm{near, far} {
+		tc.waitFor("the bound on bodies is known", func() bool { return m.node.table.Load().Limits.BodyBytes == limit })
+	}
+	for name, form := range endlessForms {
+		up := &endlessUpstream{form: form}
+		far.up.set(up.serve)
+		for from, m := range map[string]*vm{"over a link": near, "beside the upstream": far} {
+			for _, request := range [][2]string{{"GET", "/far/1"}, {"POST", "/far-order/1"}} {
+				a := m.request(request[0], request[1], make([]byte, size))
+				if a.err == nil && (a.status/100 == 2 || request[0] == "POST" && a.status == http.StatusServiceUnavailable) {
+					t.Errorf("%s, %s, %s: got status %d", name, from, request[0], a.status)
+				}
+				if other := m.request("GET", "/near/1", nil); other.status != http.StatusOK {
+					t.Errorf("%s, %s, %s: request to another upstream: got status %d, want 200", name, from, request[0], other.status)
+				}
+			}
+		}
+		tc.waitFor("connections without end are closed", func() bool { return up.open.Load() == 0 })
+		if got := up.most.Load(); got > most {
+			t.Errorf("%s: the node took %d bytes of one answer, want at most %d", name, got, most)
+		}
+	}
+}
+
+// TestHealthCheckAnsweredWithoutEndIsCutOff guards against bytes without end that answer a
+// health check.
+func TestHealthCheckAnsweredWithoutEndIsCutOff(t *testing.T) {
+	t.Parallel()
+	const healthPath, most = "/health", 1 << 20 // with what the kernels hold
+	tc, _, far := startPair(t)
+	for name, form := range endlessForms {
+		up := &endlessUpstream{form: form}
+		far.up.setHealth(healthPath, up.serve)
+		if far.node.checkHealth(t.Context(), healthPath) {
+			t.Errorf("%s: an instance has passed", name)
+		}
+		tc.waitFor("connections without end are closed", func() bool { return up.open.Load() == 0 })
+		if got := up.most.Load(); got > most {
+			t.Errorf("%s: the node took %d bytes, want at most %d", name, got, most)
+		}
+	}
+}
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -90,8 +91,15 @@
 	return n, err
 }
 
+// withoutBody and longRequests are the requests that an answer without end may meet.
+func withoutBody(r *fasthttp.Request) { r.Header.SetMethod("GET") }
+
+// TestAnswerWithoutEndIsCutOff guards against bytes that are no answer and come without end,
+// also while a long body is still being written: the process that reads them keeps them all.
 func TestAnswerWithoutEndIsCutOff(t *testing.T) {
 	const maxBody = 1 << 20
+	bodies := maps.Clone(longRequests)
+	bodies["none"] = withoutBody
 	cases := []struct{ name, begin, more string }{
 		{"status line", "HTTP/1.1 200 ", "a"},
 		{"header", okLine + "X: ", "a"},
@@ -108,37 +116,40 @@
 		{"trailer", chunks + "0\r\nX: ", "a"},
 		{"length over the bound", okLine + "Content-Length: 99999999\r\n\r\n", "a"},
 		{"no length", okLine + "\r\n", "a"},
+		{"interim head", "HTTP/1.1 103 Early Hints\r\nX: ", "a"},
+		{"head behind an interim one", "HTTP/1.1 103 Early Hints\r\n\r\n" + okLine, "X: a\r\n"},
 	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
-			e := serveEndless(t, c.begin, c.more)
-			client, read := countingClient(e.address, 8<<20)
-			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-			defer cancel()
-			req := get(true)
-			req.MaxAnswer = maxBody
-			req.AllowUntilClose = true
-			req.Matches = func(a *fasthttp.Response) Match {
-				if string(a.Header.Peek("X-Id")) == "other" {
-					return MatchNone
+		for body, set := range bodies {
+			t.Run(c.name+", request body "+body, func(t *testing.T) {
+				t.Parallel()
+				e := serveEndless(t, c.begin, c.more)
+				client, read := countingClient(e.address, 8<<20)
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				req := long(set, true)
+				req.MaxAnswer = maxBody
+				req.Matches = func(a *fasthttp.Response) Match {
+					if string(a.Header.Peek("X-Id")) == "other" {
+						return MatchNone
+					}
+					return MatchNamed
 				}
-				return MatchNamed
-			}
-			var answer fasthttp.Response
-			out := client.Do(ctx, req, &answer)
-			if ctx.Err() != nil || out.Verdict != contract.MayHaveRun {
-				t.Errorf("got outcome %+v, deadline passed: %v; want may-have-run before the deadline", out, ctx.Err() != nil)
-			}
-			if got := read.Load(); got > 2*maxBody {
-				t.Errorf("read %d bytes of one answer, want at most %d", got, 2*maxBody)
-			}
-			for closed := time.Now().Add(time.Second); e.open.Load() > 0; time.Sleep(time.Millisecond) {
-				if time.Now().After(closed) {
-					t.Fatal("connection still open 1 s after")
+				var answer fasthttp.Response
+				out := client.Do(ctx, req, &answer)
+				if ctx.Err() != nil || out.Verdict != contract.MayHaveRun {
+					t.Errorf("got outcome %+v, deadline passed: %v; want may-have-run before the deadline", out, ctx.Err() != nil)
 				}
-			}
-		})
+				if got := read.Load(); got > 2*maxBody {
+					t.Errorf("read %d bytes of one answer, want at most %d", got, 2*maxBody)
+				}
+				for closed := time.Now().Add(time.Second); e.open.Load() > 0; time.Sleep(time.Millisecond) {
+					if time.Now().After(closed) {
+						t.Fatal("connection still open 1 s after")
+					}
+				}
+			})
+		}
 	}
 }
 
