A nested order is refused when too little is left of the grace period

Here none is cut without an answer, but an order of the node's own upstream was passed on 150 ms before the end, though it takes 300 ms, and ended as "may have run" (504).

Cause: nested calls were exempt from the check of the time that is left.

Why the fix works: a nested order begins only if it is expected to end before requests are cancelled, by twice the mean latency of its kind; else it is told "not run". Nested lookups, which may be sent again, are taken to the end: TestNestedCallsContinueDuringShutdown holds.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -172,7 +172,7 @@
 	if reply := n.findOrigin(&rc.Request.Header, now, c, in.Remaining); reply != nil {
 		return c, reply
 	}
-	if !c.inner && !n.admits(now, c.deadline) {
+	if !n.admits(now, c) {
 		return c, outcome.NotRunReply(contract.ReasonLeaving, "the node stops")
 	}
 	c.method = string(rc.Method())
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -49,10 +49,21 @@
 	return now.Before(p.noticed) || !deadline.After(p.end)
 }
 
-// admits reports whether a client's request may begin.
-func (n *Node) admits(now, deadline time.Time) bool {
+// admitsNested reports whether a call of the local upstream that is expected to take some
+// time may begin. Its request was admitted before and needs it; but nobody may repeat an
+// order that is cancelled.
+func (p stopPlan) admitsNested(now time.Time, idempotent bool, takes time.Duration) bool {
+	return idempotent || !now.Add(takes).After(p.end)
+}
+
+// admits reports whether a request on the ingress may begin.
+func (n *Node) admits(now time.Time, c *call) bool {
 	p := n.plan.Load()
-	return p == nil || p.admits(now, deadline)
+	if p == nil || p.admits(now, c.deadline) {
+		return true
+	}
+	takes := latencyMargin * n.fleet.Latency(now, c.service, c.route.Name)
+	return c.inner && p.admitsNested(now, c.route.Idempotent, takes)
 }
 
 // awaitStop waits until ctx ends and then shuts down gracefully: it reports
