--- a/internal/sidecar/claims_test.go
+++ b/internal/sidecar/claims_test.go
@@ -12,11 +12,6 @@
 	"heathershed/platform/platformtest"
 )
 
-// withBorn adds the start of an instance to a heartbeat.
-func withBorn(heartbeat string, ms int64) string {
-	return strings.TrimSuffix(heartbeat, "}") + fmt.Sprintf(`,"born":%d}`, ms)
-}
-
 // callerNames collects the caller services of the requests at an upstream.
 type callerNames struct {
 	mu    sync.Mutex
@@ -46,7 +41,7 @@
 			_, near, far := startPair(t)
 			seen := &callerNames{names: make(map[string]int)}
 			far.up.set(seen.serve)
-			body := withBorn(platformtest.Heartbeat(service, near.up.address, "ready", 1), time.Now().UnixMilli())
+			body := platformtest.WithBorn(platformtest.Heartbeat(service, near.up.address, "ready", 1), time.Now().UnixMilli())
 			if status := near.post(platformtest.HeartbeatPath("i-other"), body); status != http.StatusBadRequest {
 				t.Errorf("heartbeat of service %s: got status %d, want 400", service, status)
 			}
@@ -98,11 +93,11 @@
 	started := time.Now().UnixMilli()
 	beat := func() int {
 		far.seq++
-		body := withBorn(platformtest.Heartbeat("far", far.up.address, "ready", far.seq), started)
+		body := platformtest.WithBorn(platformtest.Heartbeat("far", far.up.address, "ready", far.seq), started)
 		return far.post(platformtest.HeartbeatPath(far.up.id), body)
 	}
 	beat()
-	far.tell(platformtest.HeartbeatPath("i-other"), withBorn(platformtest.Heartbeat("far", far.up.address, "ready", 1), started+1))
+	far.tell(platformtest.HeartbeatPath("i-other"), platformtest.WithBorn(platformtest.Heartbeat("far", far.up.address, "ready", 1), started+1))
 	if status := beat(); status != http.StatusServiceUnavailable {
 		t.Errorf("heartbeat of the earlier start: got status %d, want 503", status)
 	}
@@ -118,7 +113,7 @@
 	started := time.Now().UnixMilli()
 	for _, born := range []int64{started - 5000, started} {
 		far.seq++
-		far.tell(platformtest.HeartbeatPath(far.up.id), withBorn(platformtest.Heartbeat("far", far.up.address, "ready", far.seq), born))
+		far.tell(platformtest.HeartbeatPath(far.up.id), platformtest.WithBorn(platformtest.Heartbeat("far", far.up.address, "ready", far.seq), born))
 	}
 	far.tell(platformtest.DeregisterPath(far.up.id), fmt.Sprintf(`{"born":%d}`, started-5000))
 	if a := near.request("GET", "/far/1", nil); a.status != http.StatusOK {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -55,6 +55,10 @@
 	KeyRevoked Promise = "key revoked"
 	// KeyRejected: a key of all versions is not rejected as unknown.
 	KeyRejected Promise = "key rejected"
+	// Believed: a message that can't be of the upstream is not acknowledged.
+	Believed Promise = "believed"
+	// WrongCaller: a request runs under the service of the VM where it began.
+	WrongCaller Promise = "wrong caller"
 	// WrongWorkspace: a request runs for the workspace of its key, a nested call for
 	// that of its root request, and none for an unknown key.
 	WrongWorkspace Promise = "wrong workspace"
@@ -121,6 +125,8 @@
 	// of the kind ended.
 	faults map[string]int
 	ended  map[string]time.Time
+	// services are those of the VMs.
+	services map[string]string
 }
 
 // NewLedger returns an empty ledger. Violations are dated from start.
@@ -131,6 +137,7 @@
 		outcomes: make(map[Outcome]int),
 		faults:   make(map[string]int),
 		ended:    make(map[string]time.Time),
+		services: make(map[string]string),
 	}
 	l.notices = newNotices(l)
 	return l
@@ -207,6 +214,30 @@
 	return a.runs
 }
 
+// HasRun reports whether an attempt has run.
+func (l *Ledger) HasRun(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.entry(id).runs > 0
+}
+
+// RecordService records the service of a VM.
+func (l *Ledger) RecordService(vm, service string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.services[vm] = service
+}
+
+// CheckCaller reports a violation if an attempt that was sent to a VM runs under another
+// service than that of the VM.
+func (l *Ledger) CheckCaller(id, sentTo, caller string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if want, known := l.services[sentTo]; known && caller != want {
+		l.addViolationLocked(WrongCaller, id, fmt.Sprintf("runs under %.40q, sent to %s of %s", caller, sentTo, want))
+	}
+}
+
 // RecordOutcome records the outcome of an attempt as reported to its client.
 func (l *Ledger) RecordOutcome(id string, outcome Outcome) {
 	l.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -119,6 +119,7 @@
 	plan := draw(rand.New(rand.NewPCG(seed, 1)), vms, length, meanInterval, faultKinds)
 	plan = append(plan, draw(rand.New(rand.NewPCG(seed, 4)), vms, length, meanNoticeInterval, noticeKinds)...)
 	plan = append(plan, draw(rand.New(rand.NewPCG(seed, 5)), vms, length, meanStoreInterval, storeKinds)...)
+	plan = append(plan, draw(rand.New(rand.NewPCG(seed, 6)), vms, length, meanWriterInterval, writerKinds)...)
 	slices.SortStableFunc(plan, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
@@ -142,7 +143,7 @@
 }
 
 func injectorOf(kind string) faultFunc {
-	for _, f := range slices.Concat(faultKinds, noticeKinds, storeKinds) {
+	for _, f := range slices.Concat(faultKinds, noticeKinds, storeKinds, writerKinds) {
 		if f.kind == kind {
 			return f.inject
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -170,6 +170,8 @@
 	if i%len(services) > 0 {
 		v.upstream.callPath = r.ledger.workspaces.callPath()
 	}
+	v.upstream.namesStart = i%2 > 0
+	r.ledger.RecordService(v.name, v.upstream.service)
 	r.vms = append(r.vms, v)
 	if err := v.upstream.Start(); err != nil {
 		return err
@@ -186,6 +188,10 @@
 			}
 			wg.Go(func() { c.run(ctx) })
 		}
+		p := &pipeliner{name: target.name + "-pipelined", target: target, ledger: r.ledger, rng: rand.New(rand.NewPCG(r.cfg.Seed, uint64(1000*i+8)))}
+		if !r.cfg.Workspaces { // it presents no key
+			wg.Go(func() { p.run(ctx) })
+		}
 		if r.cfg.Crowd {
 			c := &crowd{name: target.name + "-crowd", target: target, ledger: r.ledger, rng: rand.New(rand.NewPCG(r.cfg.Seed, uint64(1000*i+9)))}
 			wg.Go(func() { c.run(ctx) })
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -68,7 +68,7 @@
 			t.Errorf("event %v: want a known kind, a VM of 0 to 5 and at least the minimum duration", e)
 		}
 	}
-	for _, f := range slices.Concat(faultKinds, noticeKinds, storeKinds) {
+	for _, f := range slices.Concat(faultKinds, noticeKinds, storeKinds, writerKinds) {
 		want[f.kind] = true
 	}
 	if len(kinds) != len(want) {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -67,6 +67,7 @@
 	address       string // where its node reaches it
 	heartbeatAddr string // where its node receives heartbeats
 	callPath      string // path of its nested calls; empty for none
+	namesStart    bool   // heartbeats name the start of the instance
 	clientAddr    string // where its node receives its calls
 	stop          context.CancelFunc
 	running       atomic.Int64 // requests
@@ -75,6 +76,7 @@
 	server  *http.Server
 	id      string
 	starts  int
+	born    int64 // Unix millisecond of the start; 0 if heartbeats do not name it
 	seq     int
 	state   string
 	health  Health
@@ -98,6 +100,9 @@
 	u.starts++
 	u.id = fmt.Sprintf("i-%s-%d", strings.ReplaceAll(u.listen, ":", "-"), u.starts)
 	u.seq, u.state, u.health, u.drained, u.notice = 0, "ready", Healthy, time.Time{}, notice{}
+	if u.namesStart {
+		u.born = time.Now().UnixMilli()
+	}
 	u.stop = cancel
 	u.server = &http.Server{Handler: u}
 	go func(s *http.Server) { _ = s.Serve(l) }(u.server) // Crash ends it
@@ -138,6 +143,9 @@
 		u.seq++
 		state, id := u.state, u.id
 		body := platformtest.Heartbeat(u.service, u.address, state, u.seq)
+		if u.born > 0 {
+			body = platformtest.WithBorn(body, u.born)
+		}
 		u.mu.Unlock()
 		if ok := post(client, "http://"+u.heartbeatAddr+platformtest.HeartbeatPath(id), body); ok && state == "draining" {
 			u.mu.Lock()
@@ -173,6 +181,7 @@
 	attempt := r.Header.Get(platformtest.HeaderAttempt)
 	start := time.Now()
 	sentTo, sent := u.ledger.Dispatched(attempt)
+	u.ledger.CheckCaller(attempt, sentTo, r.Header.Get(platformtest.HeaderCaller))
 	u.ledger.notices.recordArrival(id, attempt, sentTo, sent)
 	run := u.ledger.RecordRun(attempt)
 	u.ledger.workspaces.checkRun(attempt, r.Header)
