Tests: an upstream that closes behind its answer says so

TestAnswerKeepsItsShareUntilReleased and TestLargeAnswersWaitForMemory (KNOWN-RED) failed now and then with a reset or EOF: their upstream closes each connection behind its answer without saying so, and the next request may find it open still. That is what the product answers with may-have-run, rightly. The upstream of these tests now sends Connection: close; what they check is the same.

--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -230,7 +230,7 @@
 
 func TestLargeAnswersWaitForMemory(t *testing.T) {
 	const size = 1 << 20
-	reply := okLine + fmt.Sprintf("Content-Length: %d\r\n\r\n", size) + strings.Repeat("a", size)
+	reply := okLine + fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n\r\n", size) + strings.Repeat("a", size) // serve closes
 	scripts := make([]script, 8)
 	for i := range scripts {
 		scripts[i] = script{reply: reply}
--- a/internal/upstream/hold_test.go
+++ b/internal/upstream/hold_test.go
@@ -20,7 +20,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			const memory = 5 * size // the buffer of an unknown length is up to twice as large
-			client := New(serve(t, script{reply: okLine + reply}, script{reply: okLine + reply}, script{reply: okLine + reply}), 4, memory)
+			closing := script{reply: okLine + "Connection: close\r\n" + reply} // as serve does
+			client := New(serve(t, closing, closing, closing), 4, memory)
 			do := func(held func() *Held) *Held {
 				ctx, h := WithHeld(t.Context())
 				if early := held(); early != nil {
