--- a/internal/ingress/pipeline.go
+++ b/internal/ingress/pipeline.go
@@ -214,7 +214,7 @@
 		c.p.handle(ctx, rc)
 	}
 	closes := rc.Response.ConnectionClose()
-	rc.Response.Header.ResetConnectionClose()
+	rc.Response.Header.ResetConnectionClose() // the last owed answer closes
 	if c.finish(r, closes) {
 		rc.SetConnectionClose()
 	}
@@ -230,7 +230,7 @@
 	c.stage = stageServed
 	if !known {
 		c.stage = stageUnknown
-		c.dropLocked(0)
+		c.dropLocked()
 	}
 	c.head.reset()
 	if r == nil {
@@ -297,18 +297,22 @@
 	if c.current != nil {
 		c.current.cancel()
 	}
-	c.dropLocked(0)
+	c.dropLocked()
 }
 
-// dropLocked cancels the requests of ahead from the given index on.
-func (c *pipelinedConn) dropLocked(from int) {
-	for _, r := range c.ahead[from:] {
+// dropLocked cancels the requests of ahead: nobody waits for their answers any more.
+func (c *pipelinedConn) dropLocked() {
+	if len(c.ahead) == 0 {
+		return
+	}
+	for _, r := range c.ahead {
 		r.cancel()
 		r.dropped = true
 		c.aheadSize -= r.size
 		c.releaseLocked(r)
 	}
-	c.ahead = c.ahead[:from]
+	c.ahead = c.ahead[:0]
+	c.setOwedLocked()
 }
 
 // releaseLocked gives back the memory of a request whose turn has ended, or that was
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -66,9 +66,7 @@
 	case instance.Refused:
 		n.refuseMessage(rc, id, errors.Newf("not of this upstream: service %.40q, address %.40q, seq %d", heartbeat.Service, heartbeat.Address, heartbeat.Seq))
 	case instance.Disputed:
-		n.metrics.beatsDisputed.Inc(1)
-		n.log.Warn("heartbeat disputed", "instance", id, "born", heartbeat.Born, "current", n.target.state().ID)
-		rc.Error("another instance is known here", fasthttp.StatusServiceUnavailable)
+		n.disputeHeartbeat(rc, heartbeat)
 	default:
 		n.acknowledge(rc, id)
 	}
@@ -92,6 +90,15 @@
 	rc.SetBodyString("{}")
 }
 
+// disputeHeartbeat answers a heartbeat of an instance that is not known to be the current
+// one.
+func (n *Node) disputeHeartbeat(rc *fasthttp.RequestCtx, h instance.Heartbeat) {
+	n.metrics.beatsDisputed.Inc(1)
+	state := n.target.state()
+	n.log.Warn("heartbeat disputed", "instance", h.ID, "born", h.Born, "current", state.ID, "disputed_ms", age(state.DisputedSince).Milliseconds())
+	rc.Error("another instance is known here", fasthttp.StatusServiceUnavailable)
+}
+
 // refuseMessage answers a message that can't be of the upstream.
 func (n *Node) refuseMessage(rc *fasthttp.RequestCtx, id string, err error) {
 	n.metrics.beatsRefused.Inc(1)
--- a/internal/sidecar/leaving.go
+++ b/internal/sidecar/leaving.go
@@ -28,7 +28,7 @@
 	healthTimeout = time.Second
 	maxHealthBody = 4 << 10
 	// maxHealthChecks bounds the health checks after one reading of the local record, or
-	// after claims of another instance; healthPause is between two such rows.
+	// after claims of another instance; healthPause is the pause between two such series.
 	maxHealthChecks = 3
 	healthPause     = 500 * time.Millisecond
 )
--- a/internal/vm/instance/instance.go
+++ b/internal/vm/instance/instance.go
@@ -68,9 +68,9 @@
 	Heard   bool
 	// Lost says that nothing listens at its address any more.
 	Lost bool
-	// disputedSince is when another instance first claimed the place of this one, which
+	// DisputedSince is when another instance first claimed the place of this one, which
 	// has said nothing since; zero if none has.
-	disputedSince time.Time
+	DisputedSince time.Time
 	// seq is that of the newest heartbeat. lateSeq is that of the newest one with a lower
 	// number, lateSince when the first of these came; zero if a newer one came since.
 	seq, lateSeq uint64
@@ -86,7 +86,7 @@
 func (s State) Unconfirmed() bool { return s.Expected && !s.leaving }
 
 // Disputed reports whether another instance claims to be the current one.
-func (s State) Disputed() bool { return !s.disputedSince.IsZero() }
+func (s State) Disputed() bool { return !s.DisputedSince.IsZero() }
 
 // Stored is what a process leaves to the next one of the same VM.
 type Stored struct {
@@ -201,7 +201,7 @@
 	if id != IDOf(t.state.ID) {
 		return Same
 	}
-	t.state.disputedSince = time.Time{}
+	t.state.DisputedSince = time.Time{}
 	if !t.state.Unconfirmed() {
 		return Same
 	}
@@ -280,9 +280,9 @@
 // whether the current one has said nothing for so long that the claim is believed.
 func (t *Tracker) dispute(now time.Time) bool {
 	if !t.state.Disputed() {
-		t.state.disputedSince = now
+		t.state.DisputedSince = now
 	}
-	return now.Sub(t.state.disputedSince) > silentAfter
+	return now.Sub(t.state.DisputedSince) > silentAfter
 }
 
 // outlasts records a heartbeat of the current instance with a lower sequence number
@@ -305,7 +305,7 @@
 func (t *Tracker) apply(now time.Time, h Heartbeat) {
 	t.state.seq = max(t.state.seq, h.Seq)
 	t.state.lateSeq, t.state.lateSince = 0, time.Time{}
-	t.state.disputedSince = time.Time{}
+	t.state.DisputedSince = time.Time{}
 	t.state.Service = t.service
 	t.state.Slots = h.Slots
 	t.state.Expected = false
