--- a/internal/upstream/hold_test.go
+++ b/internal/upstream/hold_test.go
@@ -19,7 +19,7 @@
 		"chunked":  "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", size, strings.Repeat("a", size)),
 	} {
 		t.Run(name, func(t *testing.T) {
-			const memory = 5 * size // the buffer of an unknown length is up to twice as large
+			const memory = 5 * size                                            // the buffer of an unknown length is up to twice as large
 			closing := script{reply: okLine + "Connection: close\r\n" + reply} // as serve does
 			client := New(serve(t, closing, closing, closing), 4, memory)
 			do := func(held func() *Held) *Held {
