A body over the bound does not run ahead; refusals behind what has run come last

TestRefusalBehindWhatHasRunComesLast (malformed, an invalid field, a body or head over its bound) and TestNothingRunsBehindAnUpload show the order of answers around those that close.

--- a/internal/ingress/ahead.go
+++ b/internal/ingress/ahead.go
@@ -69,7 +69,7 @@
 		if state == incomplete {
 			return
 		}
-		if state == invalid || Ambiguity(&r.rc.Request.Header) != "" || !c.p.idempotent(&r.rc.Request) {
+		if state == invalid || !c.p.mayRunAhead(&r.rc.Request) {
 			c.blocked = true
 			return
 		}
@@ -95,6 +95,12 @@
 	}
 }
 
+// mayRunAhead reports whether a request that was received completely may run before its
+// turn: it is idempotent, and the server would not refuse it.
+func (p *pipeline) mayRunAhead(req *fasthttp.Request) bool {
+	return len(req.Body()) <= p.bodyLimit() && Ambiguity(&req.Header) == "" && p.idempotent(req)
+}
+
 // standInFor returns the request that the server reads in place of one that has run
 // ahead. The method, protocol and connection option decide how its answer is written. It
 // has no body, so none of the bounds on bodies can refuse it.
--- a/internal/ingress/owed_test.go
+++ b/internal/ingress/owed_test.go
@@ -255,3 +255,77 @@
 	p.release("/held/0")
 	answered.Wait()
 }
+
+// TestRefusalBehindWhatHasRunComesLast guards against a request that the server refuses, and
+// whose refusal closes the connection, before those in front of it that have run are answered.
+func TestRefusalBehindWhatHasRunComesLast(t *testing.T) {
+	t.Parallel()
+	const limit = 1 << 10
+	for name, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"no request":       {"\x16\x03\x01\r\n\r\n", fasthttp.StatusBadRequest},
+		"invalid field":    {"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length : 3\r\n\r\nabc", fasthttp.StatusBadRequest},
+		"body too large":   {orderOf("/x", strings.Repeat("x", 2*limit)), fasthttp.StatusRequestEntityTooLarge},
+		"header too large": {"GET /x HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 2*defaultHeadBytes) + "\r\n\r\n", fasthttp.StatusRequestHeaderFieldsTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := startPipelined(t, Options{Bodies: &BodyOptions{
+				Budget:  memory.New(1<<20, time.Minute),
+				Limit:   func() int { return limit },
+				IsOrder: func(*fasthttp.RequestCtx) bool { return false },
+				Refuse: func(rc *fasthttp.RequestCtx, err error) {
+					rc.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
+					rc.SetBodyString(err.Error())
+				},
+			}})
+			c2, r := p.dial()
+			p.send(c2, lookupOf("/held/0")+lookupOf("/1")+lookupOf("/held/2")+c.text+lookupOf("/behind"))
+			p.await("all run", func() bool { return p.hasBegun("/held/0") && p.hasBegun("/1") && p.hasBegun("/held/2") })
+			settle()
+			p.release("/held/0", "/held/2")
+			for _, uri := range []string{"/held/0", "/1", "/held/2"} {
+				p.expect(r, uri)
+			}
+			var refusal fasthttp.Response
+			if err := refusal.Read(r); err != nil || refusal.StatusCode() != c.status || !refusal.ConnectionClose() {
+				t.Errorf("got status %d, closes %v (%v); want %d and a close", refusal.StatusCode(), refusal.ConnectionClose(), err, c.status)
+			}
+			p.expectEnd(r)
+			if p.hasBegun("/behind") {
+				t.Error("a request behind a refusal ran")
+			}
+		})
+	}
+}
+
+// TestNothingRunsBehindAnUpload guards against requests that run behind an upload, whose
+// answer closes the connection.
+func TestNothingRunsBehindAnUpload(t *testing.T) {
+	t.Parallel()
+	const whole = 1 << 10
+	p := startPipelined(t, Options{Bodies: &BodyOptions{
+		Budget:  memory.New(16<<20, time.Minute),
+		Limit:   func() int { return 1 << 20 },
+		Whole:   whole,
+		IsOrder: func(*fasthttp.RequestCtx) bool { return false },
+		Refuse:  func(rc *fasthttp.RequestCtx, err error) { rc.Error(err.Error(), fasthttp.StatusServiceUnavailable) },
+	}})
+	c, r := p.dial()
+	p.send(c, lookupOf("/held/0")+lookupOf("/1")+orderOf("/order/held/upload", strings.Repeat("x", 40*whole))+lookupOf("/behind"))
+	p.await("the lookups run", func() bool { return p.hasBegun("/held/0") && p.hasBegun("/1") })
+	p.release("/held/0")
+	p.expect(r, "/held/0")
+	p.expect(r, "/1")
+	p.await("the upload runs", func() bool { return p.hasBegun("/order/held/upload") })
+	settle()
+	p.release("/order/held/upload")
+	if a := p.expect(r, "/order/held/upload"); !a.ConnectionClose() {
+		t.Error("the answer to an upload does not close the connection")
+	}
+	if p.hasBegun("/behind") {
+		t.Error("a request ran behind an upload")
+	}
+}
--- a/internal/ingress/pipeline.go
+++ b/internal/ingress/pipeline.go
@@ -58,7 +58,9 @@
 	answerSize AnswerSize
 	responses  *memory.Budget
 	headBytes  int
-	draining   *atomic.Bool
+	// bodyLimit returns the bound on one body in bytes.
+	bodyLimit func() int
+	draining  *atomic.Bool
 	// template is an empty answer with the settings of the server.
 	template     fasthttp.Response
 	templateOnce sync.Once
@@ -79,8 +81,12 @@
 		answerSize: o.AnswerSize,
 		responses:  o.Responses,
 		headBytes:  o.HeaderBytes,
+		bodyLimit:  func() int { return maxBody },
 		draining:   draining,
 	}
+	if o.Bodies != nil {
+		p.bodyLimit = o.Bodies.Limit
+	}
 	if p.answerSize == nil {
 		p.answerSize = func(*fasthttp.Request) int64 { return 0 }
 	}
