--- a/internal/vm/instance/claims_test.go
+++ b/internal/vm/instance/claims_test.go
@@ -1,7 +1,9 @@
 package instance
 
 import (
+	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -109,6 +111,12 @@
 			{"its clock is wrong", handle(born("b", farAhead, 2)), Started, Identity("b", farAhead), true},
 			{"later start with a good clock", handle(born("c", 200, 1)), Disputed, Identity("b", farAhead), true},
 		},
+		"an answer that names no instance": {
+			{"first", handle(born("a", 100, 1)), Started, "a/100", true},
+			{"misdirected", misdirected("a/100", ""), Lost, "", false},
+			{"the upstream", handleAt(time.Second, born("a", 100, 2)), Disputed, "", false},
+			{"the upstream goes on", handleAt(2*silentAfter, born("a", 100, 3)), Started, "a/100", true},
+		},
 		"arrival where none is named": {
 			{"first", handle(heartbeat("a", 9)), Started, "a", true},
 			{"second", handle(heartbeat("b", 1)), Started, "b", true},
@@ -184,3 +192,89 @@
 		{"next instance", handleAt(time.Second, heartbeat("b", 3)), Started, "b", true},
 	})
 }
+
+// upstreamModel is a true upstream with its node, which gets messages of other writers.
+type upstreamModel struct {
+	tr  *Tracker
+	rng *rand.Rand
+	now time.Time
+	// id, started and seq are the upstream's; started is 0 if it does not report that.
+	id      string
+	started int64
+	seq     uint64
+	starts  int
+	ended   map[string]bool // identities that have deregistered
+}
+
+func (m *upstreamModel) restart() {
+	m.starts++
+	m.id, m.seq, m.started = fmt.Sprint("i-", m.starts), 0, 0
+	if m.rng.IntN(2) == 0 {
+		m.started = m.now.UnixMilli()
+	}
+}
+
+func (m *upstreamModel) beat() Change {
+	m.seq++
+	return m.tr.HandleHeartbeat(m.now, born(m.id, m.started, m.seq))
+}
+
+// forge returns a heartbeat of another writer, complete and of this service.
+func (m *upstreamModel) forge() Heartbeat {
+	ids := []string{m.id, "i-other", fmt.Sprint("i-", 1+m.rng.IntN(m.starts))}
+	started := []int64{0, m.started, m.now.UnixMilli(), 1, math.MaxInt64}
+	seqs := []uint64{0, m.seq, m.seq + 5, math.MaxUint64}
+	h := born(ids[m.rng.IntN(len(ids))], started[m.rng.IntN(len(started))], seqs[m.rng.IntN(len(seqs))])
+	h.Draining = m.rng.IntN(3) == 0
+	return h
+}
+
+// step lets one message arrive.
+func (m *upstreamModel) step() {
+	m.now = m.now.Add(time.Duration(m.rng.Int64N(int64(2 * time.Second))))
+	switch m.rng.IntN(8) {
+	case 0, 1, 2:
+		m.beat()
+	case 3, 4:
+		m.tr.HandleHeartbeat(m.now, m.forge())
+	case 5:
+		m.tr.Misdirected(m.tr.State().ID, m.id)
+	case 6:
+		m.tr.ConnectionRefused(m.tr.State().ID)
+	case 7:
+		m.ended[Identity(m.id, m.started)] = true
+		m.tr.Deregister(Deregistration{ID: m.id, Born: m.started})
+		m.restart()
+	}
+}
+
+// TestUpstreamPrevailsOverOtherWriters guards against messages of other writers, in any
+// order, after which the true upstream is ignored for good, another service is known, or one
+// that has deregistered takes requests.
+func TestUpstreamPrevailsOverOtherWriters(t *testing.T) {
+	const (
+		runs, steps = 5000, 40
+		interval    = time.Second // of heartbeats
+		most        = 3 * silentAfter
+	)
+	for seed := range uint64(runs) {
+		m := &upstreamModel{tr: NewTracker(address, "span"), rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), ended: make(map[string]bool)}
+		m.restart()
+		for range steps {
+			m.step()
+			if m.rng.IntN(3) == 0 && m.beat() == Ignored && m.tr.State().ID != Identity(m.id, m.started) {
+				t.Fatalf("seed %d: a heartbeat of %q is acknowledged, the current instance is %q", seed, m.id, m.tr.State().ID)
+			}
+			if s := m.tr.State(); s.Ready && (m.ended[s.ID] || s.Service != "span") {
+				t.Fatalf("seed %d: %q of service %q takes requests, want none that has deregistered", seed, s.ID, s.Service)
+			}
+		}
+		ready := func() bool { s := m.tr.State(); return s.Ready && IDOf(s.ID) == m.id }
+		for quiet := m.now; !ready(); m.now = m.now.Add(interval) {
+			if m.now.Sub(quiet) > most {
+				t.Fatalf("seed %d: %q does not take requests %v after the last message of another writer: %+v", seed, m.id, most, m.tr.State())
+			}
+			m.beat()
+		}
+	}
+}
--- a/internal/vm/instance/ended.go
+++ b/internal/vm/instance/ended.go
@@ -47,8 +47,15 @@
 
 func (e endedInstances) has(identity string) bool { return e.index(identity) >= 0 }
 
-func (e endedInstances) hasID(id string) bool {
-	return slices.ContainsFunc(e, func(i endedInstance) bool { return IDOf(i.identity) == id })
+// deregisterID records that the instances of an id have deregistered, and reports whether
+// there is one.
+func (e endedInstances) deregisterID(id string) (known bool) {
+	for i := range e {
+		if IDOf(e[i].identity) == id {
+			e[i].deregistered, known = true, true
+		}
+	}
+	return known
 }
 
 func (e endedInstances) deregistered(identity string) bool {
@@ -56,7 +63,10 @@
 }
 
 // left reports whether an instance has deregistered. A deregistration may name the id
-// alone.
+// alone, and so may the instance: then any start of that id that has deregistered counts.
 func (e endedInstances) left(identity string) bool {
-	return e.deregistered(identity) || e.deregistered(IDOf(identity))
+	id := IDOf(identity)
+	return slices.ContainsFunc(e, func(i endedInstance) bool {
+		return i.deregistered && (i.identity == identity || i.identity == id || identity == IDOf(i.identity))
+	})
 }
--- a/internal/vm/instance/instance.go
+++ b/internal/vm/instance/instance.go
@@ -69,9 +69,10 @@
 	// Lost says that nothing listens at its address any more.
 	Lost bool
 	// DisputedSince is when another instance first claimed the place of this one, which
-	// has said nothing since; zero if none has.
+	// has said nothing since; zero if none has. claimant is the id of the newest claim.
 	DisputedSince time.Time
-	// seq is that of the newest heartbeat. lateSeq is that of the newest one with a lower
+	claimant      string
+	// seq is that of the newest heartbeat. lateSeq is that of the last one with a lower
 	// number, lateSince when the first of these came; zero if a newer one came since.
 	seq, lateSeq uint64
 	lateSince    time.Time
@@ -201,7 +202,7 @@
 	if id != IDOf(t.state.ID) {
 		return Same
 	}
-	t.state.DisputedSince = time.Time{}
+	t.state.answered()
 	if !t.state.Unconfirmed() {
 		return Same
 	}
@@ -211,8 +212,7 @@
 
 // HandleHeartbeat applies a heartbeat. A late one can't end a drain, but it can
 // announce one, which is obeyed since it is acknowledged, and it shows that a lost
-// instance is there. One of an earlier start under the same id is late for good, as is
-// one of an instance that has deregistered.
+// instance is there. One of an instance that has deregistered is late for good.
 func (t *Tracker) HandleHeartbeat(now time.Time, h Heartbeat) Change {
 	identity := Identity(h.ID, h.Born)
 	switch {
@@ -247,10 +247,7 @@
 
 // handleOther applies a heartbeat of an instance that is not the current one.
 func (t *Tracker) handleOther(now time.Time, h Heartbeat, identity string) Change {
-	if IDOf(t.state.ID) == h.ID && h.Born < bornOf(t.state.ID) {
-		return Ignored
-	}
-	if !t.succeeds(now, h, identity) && !t.dispute(now) {
+	if !t.succeeds(now, h, identity) && !t.dispute(now, h.ID) {
 		return Disputed
 	}
 	t.ended.add(t.state.ID, false)
@@ -267,7 +264,7 @@
 	switch {
 	case t.state.ID == "":
 		return !t.ended.has(identity)
-	case h.Born > 0 && h.Born != current && (current > 0 || sameID):
+	case h.Born != current && (h.Born > 0 && current > 0 || sameID):
 		return h.Born > current && h.Born <= now.Add(maxClockError).UnixMilli()
 	case t.state.Lost || t.ended.left(t.state.ID):
 		return true
@@ -278,28 +275,36 @@
 
 // dispute records that another instance claims to be the current one. It reports
 // whether the current one has said nothing for so long that the claim is believed.
-func (t *Tracker) dispute(now time.Time) bool {
+func (t *Tracker) dispute(now time.Time, claimant string) bool {
 	if !t.state.Disputed() {
 		t.state.DisputedSince = now
 	}
+	t.state.claimant = claimant
 	return now.Sub(t.state.DisputedSince) > silentAfter
 }
 
+// answered records that the upstream has answered as the current instance, which ends a
+// dispute. It answers with its id, so that does not decide between two starts of one id.
+func (s *State) answered() {
+	if s.claimant != IDOf(s.ID) {
+		s.DisputedSince = time.Time{}
+	}
+}
+
 // outlasts records a heartbeat of the current instance with a lower sequence number
 // than an earlier one. It reports whether such heartbeats have come for so long, and
 // none with a higher number, that the higher one was not of this instance.
 func (t *Tracker) outlasts(now time.Time, seq uint64) bool {
-	switch {
-	case t.state.lateSince.IsZero():
+	advances := seq > t.state.lateSeq
+	t.state.lateSeq = seq
+	if t.state.lateSince.IsZero() {
 		t.state.lateSince = now
-	case seq <= t.state.lateSeq:
+	}
+	if !advances || now.Sub(t.state.lateSince) <= silentAfter {
 		return false
-	case now.Sub(t.state.lateSince) > silentAfter:
-		t.state.seq = seq
-		return true
 	}
-	t.state.lateSeq = seq
-	return false
+	t.state.seq = seq
+	return true
 }
 
 func (t *Tracker) apply(now time.Time, h Heartbeat) {
@@ -348,10 +353,10 @@
 	return Leaving
 }
 
-// deregisterOther records that an instance other than the current one has ended. If its
-// start is not named, it may be one that is known to have ended.
+// deregisterOther records that an instance other than the current one has ended: if its
+// start is not named, each known start of its id.
 func (t *Tracker) deregisterOther(d Deregistration) {
-	if d.Born > 0 || !t.ended.hasID(d.ID) {
+	if d.Born > 0 || !t.ended.deregisterID(d.ID) {
 		t.ended.add(Identity(d.ID, d.Born), true)
 	}
 }
--- a/internal/vm/instance/notice.go
+++ b/internal/vm/instance/notice.go
@@ -71,7 +71,7 @@
 		return Same
 	}
 	t.state.Heard = true
-	t.state.DisputedSince = time.Time{}
+	t.state.answered()
 	changed := !a.KeepLimit && t.state.hearLimit(now, a)
 	if a.Leaving && !t.state.Notice.Leaving {
 		t.state.leave()
