--- a/internal/ingress/ahead.go
+++ b/internal/ingress/ahead.go
@@ -75,17 +75,11 @@
 		}
 		expected := int(c.p.answerSize(&r.rc.Request))
 		cost := requestCost + size + expected
-		if !c.p.reserve(cost) {
-			return
-		}
-		if c.p.running.Add(1) > maxAheadRunning {
-			c.p.running.Add(-1)
-			c.p.memory.Add(-int64(cost))
+		if !c.p.admit(cost) {
 			return
 		}
 		r.size, r.held, r.expected = size, cost, expected
 		r.standIn = standInFor(&r.rc.Request.Header)
-		c.p.owed.Add(1)
 		c.held += cost
 		c.ahead = append(c.ahead, r)
 		c.aheadSize += size
@@ -95,6 +89,30 @@
 	}
 }
 
+// admit counts a request that is to run ahead and takes its memory, if there is room for it.
+func (p *pipeline) admit(cost int) bool {
+	if !p.reserve(cost) {
+		return false
+	}
+	if p.running.Add(1) <= maxAheadRunning && p.owe() {
+		return true
+	}
+	p.running.Add(-1)
+	p.memory.Add(-int64(cost))
+	return false
+}
+
+// owe counts an answer that is owed, unless the server drains. It is counted before that is
+// checked, so that a Shutdown which finds none owed has none begin after that.
+func (p *pipeline) owe() bool {
+	p.owed.Add(1)
+	if p.draining.Load() {
+		p.owed.Add(-1)
+		return false
+	}
+	return true
+}
+
 // mayRunAhead reports whether a request that was received completely may run before its
 // turn: it is idempotent, and the server would not refuse it.
 func (p *pipeline) mayRunAhead(req *fasthttp.Request) bool {
--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -140,6 +140,10 @@
 	"body":              {"HTTP/1.1 200 OK\r\n\r\n", "a"},
 }
 
+// endlessQueue is what the kernel of an endless upstream holds of its answer, in bytes, so
+// that what it sends is about what the node takes.
+const endlessQueue = 64 << 10
+
 // endlessUpstream answers without end, until the node closes the connection.
 type endlessUpstream struct {
 	form [2]string
@@ -157,6 +161,7 @@
 	defer u.open.Add(-1)
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(waitTimeout)) // bounds a test that fails
+	_ = conn.(*net.TCPConn).SetWriteBuffer(endlessQueue)
 	sent, err := io.WriteString(conn, u.form[0])
 	for text := strings.Repeat(u.form[1], 2048); err == nil; {
 		var n int
