--- a/internal/soak/pipelining.go
+++ b/internal/soak/pipelining.go
@@ -94,7 +94,7 @@
 }
 
 // checkUnanswered reports a violation for each attempt without an answer that has run,
-// though its node was neither killed nor paused.
+// though its node was not killed and its time was not up.
 func (p *pipeliner) checkUnanswered(attempts []string, began time.Time, err error) {
 	for _, attempt := range attempts {
 		p.ledger.RecordOutcome(attempt, OutcomeUnknown)
--- a/internal/soak/writer.go
+++ b/internal/soak/writer.go
@@ -48,11 +48,11 @@
 	}
 }
 
-// optionalFields are fields of a heartbeat that say nothing of the instance's work.
-var optionalFields = []string{`"zone":"west",`, `"version":"v1",`, `"capacity":4,`, `"warmupLeft":"0ms",`}
+// omittedFields are required fields of platformtest.Heartbeat, one of which is left out.
+var omittedFields = []string{`"zone":"west",`, `"version":"v1",`, `"capacity":4,`, `"warmupLeft":"0ms",`}
 
 func withoutField(_ *Upstream, valid string, draw uint64) foreignMessage {
-	return foreignMessage{body: strings.Replace(valid, optionalFields[draw%uint64(len(optionalFields))], "", 1)}
+	return foreignMessage{body: strings.Replace(valid, omittedFields[draw%uint64(len(omittedFields))], "", 1)}
 }
 
 func withNull(_ *Upstream, valid string, _ uint64) foreignMessage {
